--- /dev/null
+++ b/brambleplank/__init__.py
@@ -0,0 +1,1 @@
+"""A balancer for long-lived connections: decisions, their interface, and the hosts that carry them."""
--- /dev/null
+++ b/brambleplank/decide.py
@@ -0,0 +1,477 @@
+"""Every decision of brambleplank, for one proxy.
+
+A host makes one `Balancer` for each proxy and calls `flow`, `established`, `connect_ended` and their kin; the
+balancer answers through the `Host` it was given. Both sides of that interface are in `brambleplank/host.py`.
+
+A flow runs down a chain of small stages: `Promise` (one final answer in time), `Ring` (whom it belongs to,
+and who is passed over on evidence), `Launch` (the connect and how long to wait). `Drain`, `Effects`, `Cold`,
+`Health` and `Bound` between them have a say about single servers: a stage `forbids` a server where a rule is
+at stake, and `avoids` one on evidence, which gives way when every server is avoided. What comes back runs up
+the chain. The ring is that of the DTS paper, see `docs/design.md`.
+"""
+
+from __future__ import annotations
+
+from bisect import bisect_right
+from collections.abc import Iterator
+from hashlib import md5
+from random import Random
+
+from brambleplank.host import Condition, Effect, End, Host, ServiceType, Terms
+
+POINTS = 63  # as in the paper's tests
+BOUND_FACTOR, BOUND_SPARE = 2, 2  # an owner is full at twice the mean count plus two
+NEVER_RAN = (End.FULL, End.UNREACHABLE, End.MOOT)
+TOO_UNUSUAL = 3.0  # a silence that one gap in a thousand outlasts
+LEARNING = 1 / 8  # weight of the newest gap, as TCP's round-trip estimate has it
+TRICKLE_FULL = 8  # connects in a row that went well, doubling from one, before a server is trusted again
+
+
+def place_on_ring(text: str) -> int:
+    return int.from_bytes(md5(text.encode()).digest()[:8], "big")
+
+
+class Server:
+    """The one record of a server."""
+
+    def __init__(self, server_id: str, now: float) -> None:
+        self.id = server_id
+        self.points = [place_on_ring(f"{server_id}#{i}") for i in range(POINTS)]
+        self.zone = ""
+        self.cell = 0
+        self.condition = Condition.GONE
+        self.unready_since = now  # when the list told this proxy that it drains or is gone
+        self.started = 0.0
+        self.held = 0  # connects sent, or told open at the start, that have not ended
+        self.waiting: dict[Connect, None] = {}  # connects out and unanswered, oldest first
+        self.gap = 0.0  # usual time to an answer; 0 before the first
+        self.silence = 0.0  # waiting that ended without an answer, since the last answer
+        self.trickle = 0  # connects at once that a server set aside may have; 0: it is not set aside
+        self.pause = 0.0
+        self.retry_at = 0.0
+        self.cold_next = 0.0  # when a cold server's budget allows this proxy's next connect
+
+
+class Connect:
+    """One connect of a flow."""
+
+    def __init__(self, flow: Flow, server: Server, sent: float) -> None:
+        self.flow = flow
+        self.server = server
+        self.sent = sent
+        self.established = False
+        self.over = False
+
+
+class Flow:
+    """A client's connection, from its arrival to its end."""
+
+    def __init__(
+        self, handle: object, service_type: ServiceType, customer: str, spot: int, give_up_at: float,
+        midflow: bool,
+    ) -> None:
+        self.handle = handle
+        self.service_type = service_type
+        self.customer = customer
+        self.spot = spot
+        self.give_up_at = give_up_at
+        self.midflow = midflow
+        self.connects: list[Connect] = []
+        self.target: Server | None = None
+        self.answered = False  # nothing more is owed to the client
+        self.may_have_run: Connect | None = None  # the first connect not proved never to have run
+
+    @property
+    def out(self) -> Connect | None:
+        return self.connects[-1] if self.connects and not self.connects[-1].over else None
+
+    @property
+    def over(self) -> bool:
+        return self.answered and self.out is None
+
+
+class Stage:
+    """One step of the chain; what a stage leaves out passes everything on."""
+
+    def __init__(self, balancer: Balancer) -> None:
+        self.balancer = balancer
+        self.terms = balancer.terms
+
+    def onward(self, now: float, flow: Flow) -> bool:
+        """True passes the flow on; False keeps or ends it."""
+        return True
+
+    def forbids(self, now: float, flow: Flow, server: Server) -> bool:
+        return False
+
+    def avoids(self, now: float, flow: Flow, server: Server) -> bool:
+        return False
+
+    def stands(self, now: float, connect: Connect, delay: float) -> None:
+        """The connect is established."""
+
+    def back(self, now: float, connect: Connect, end: End, delay: float) -> None:
+        """The connect is over."""
+
+
+class Promise(Stage):
+    """One final answer, ahead of the connect timeout; what is given up on is answered at once."""
+
+    def onward(self, now: float, flow: Flow) -> bool:
+        if not flow.connects:
+            self.balancer.host.alarm(
+                max(0.0, flow.give_up_at - self.balancer.margin - now), lambda at: self.expire(at, flow)
+            )
+        left = flow.give_up_at - self.balancer.margin - now
+        if len(flow.connects) < self.terms.max_connects and left > 0:
+            return True
+        self.balancer.give_up(flow)
+        return False
+
+    def expire(self, now: float, flow: Flow) -> None:
+        if flow.answered or (flow.out and flow.out.established):
+            return
+        if flow.out and self.terms.cancelling:
+            self.balancer.host.withdraw(flow, len(flow.connects) - 1)
+        self.balancer.give_up(flow)
+
+    def back(self, now: float, connect: Connect, end: End, delay: float) -> None:
+        if not connect.flow.answered:
+            self.balancer.place(now, connect.flow)
+
+
+class Drain(Stage):
+    """Nothing new to a server that drains or is gone. A mid-flow flow may still reach it within the grace."""
+
+    def forbids(self, now: float, flow: Flow, server: Server) -> bool:
+        if server.condition is Condition.READY:
+            return False
+        grace_over = now >= server.unready_since + self.terms.drain_grace / 2
+        return not flow.midflow or grace_over or server.condition is Condition.GONE
+
+
+class Effects(Stage):
+    """No effect twice: where a flow may go once a connect of it may have run."""
+
+    def forbids(self, now: float, flow: Flow, server: Server) -> bool:
+        first, kind = flow.may_have_run, flow.service_type
+        if first is None or kind.effect is Effect.REPEATABLE:
+            return False
+        if kind.effect is Effect.ONCE_ONLY or now >= first.sent + kind.window - self.balancer.margin:
+            return True
+        if kind.group == "all":
+            return False
+        if kind.group == "zone":
+            return server.zone != first.server.zone
+        return server.cell != first.server.cell
+
+    def avoids(self, now: float, flow: Flow, server: Server) -> bool:
+        return any(c.server is server for c in flow.connects)
+
+
+class Cold(Stage):
+    """Danger: a few connections placed at once can push over a server that has just started."""
+
+    def forbids(self, now: float, flow: Flow, server: Server) -> bool:
+        return self.is_cold(now, server) and now < server.cold_next
+
+    def is_cold(self, now: float, server: Server) -> bool:
+        return server.started > 0 and now < server.started + self.terms.ramp_time
+
+    def spacing(self, now: float, server: Server) -> float:
+        """Time between connects that keeps to this proxy's share, were the server as able as the mean."""
+        warmth = max(0.0, now - server.started) / self.terms.ramp_time
+        able = self.terms.cold_from + (1 - self.terms.cold_from) * min(1.0, warmth)
+        usual = self.balancer.arrivals(now) / max(1, len(self.balancer.ready))
+        allowed = self.terms.overload_factor * able * usual / 2
+        return 1 / allowed if allowed > 1 / self.terms.ramp_time else self.terms.ramp_time
+
+    def onward(self, now: float, flow: Flow) -> bool:
+        if flow.target is not None and self.is_cold(now, flow.target):
+            flow.target.cold_next = now + self.spacing(now, flow.target)
+        return True
+
+
+class Health(Stage):
+    """Sets aside a server whose silence is unusual, and lets a trickle through that doubles."""
+
+    def avoids(self, now: float, flow: Flow, server: Server) -> bool:
+        self.watch(now, server)
+        return server.trickle > 0 and (now < server.retry_at or len(server.waiting) >= server.trickle)
+
+    def unusual(self, now: float, server: Server) -> float:
+        """How unusual the present silence is: minus the logarithm of the share of gaps that outlast it."""
+        oldest = next(iter(server.waiting), None)
+        silence = server.silence + (now - oldest.sent if oldest else 0.0)
+        return 0.4343 * silence / max(server.gap, self.balancer.gap, self.balancer.floor)
+
+    def watch(self, now: float, server: Server) -> None:
+        if server.trickle == 0 and self.unusual(now, server) > TOO_UNUSUAL:
+            self.set_aside(now, server, "silent")
+
+    def set_aside(self, now: float, server: Server, why: str) -> None:
+        ready = self.balancer.ready
+        if server.trickle == 0 and 2 * sum(s.trickle > 0 for s in ready) >= len(ready):
+            return  # Danger: if most look ill the cause is shared, and setting all aside helps nobody.
+        first = server.trickle == 0
+        server.pause = self.balancer.floor * 4 if first else min(2 * server.pause, self.terms.ramp_time)
+        server.trickle = 1
+        server.retry_at = now + server.pause * self.balancer.rng.uniform(0.75, 1.25)
+        server.silence = 0.0
+        if first:
+            self.balancer.host.log(f"{server.id} set aside: {why}")
+
+    def heard(self, server: Server, delay: float) -> None:
+        server.silence = 0.0
+        server.gap = server.gap + LEARNING * (delay - server.gap) if server.gap else delay
+        self.balancer.gap += LEARNING * (delay - self.balancer.gap) if self.balancer.gap else delay
+
+    def stands(self, now: float, connect: Connect, delay: float) -> None:
+        server = connect.server
+        self.heard(server, delay)
+        if server.trickle:
+            server.trickle *= 2
+            if server.trickle >= TRICKLE_FULL:
+                server.trickle = 0
+                self.balancer.host.log(f"{server.id} trusted again")
+
+    def back(self, now: float, connect: Connect, end: End, delay: float) -> None:
+        server = connect.server
+        if connect.established or end in (End.OK, End.CANCELLED, End.MOOT):
+            return
+        if end is End.TIMEOUT:
+            server.silence += delay
+            if server.trickle:
+                self.set_aside(now, server, "silent")
+            else:
+                self.watch(now, server)
+        else:
+            self.set_aside(now, server, end.value)
+
+
+class Bound(Stage):
+    """The skip: an owner that holds over twice the mean count plus two is passed over."""
+
+    def avoids(self, now: float, flow: Flow, server: Server) -> bool:
+        if flow.midflow:
+            return False
+        mean = self.balancer.held / max(1, len(self.balancer.ready))
+        return server.held > BOUND_FACTOR * mean + BOUND_SPARE
+
+
+class Ring(Stage):
+    """The owner of the flow's arc, or the next distinct server that no stage speaks against."""
+
+    def __init__(self, balancer: Balancer) -> None:
+        super().__init__(balancer)
+        self.points: list[int] = []
+        self.owners: list[Server] = []
+        self.count = 0
+
+    def build(self, servers: list[Server]) -> None:
+        arcs = sorted((point, s.id, s) for s in servers for point in s.points)
+        self.points = [point for point, _, _ in arcs]
+        self.owners = [server for _, _, server in arcs]
+        self.count = len(servers)
+
+    def round(self, spot: int) -> Iterator[Server]:
+        """The distinct servers from the spot's owner on."""
+        start = bisect_right(self.points, spot) - 1
+        seen: set[Server] = set()
+        for i in range(start, start + len(self.owners)):
+            server = self.owners[i % len(self.owners)]
+            if server not in seen:
+                seen.add(server)
+                yield server
+                if len(seen) == self.count:
+                    return
+
+    def onward(self, now: float, flow: Flow) -> bool:
+        flow.target = None
+        stages = self.balancer.chain
+        for server in self.round(flow.spot):
+            if any(stage.forbids(now, flow, server) for stage in stages):
+                continue
+            if not any(stage.avoids(now, flow, server) for stage in stages):
+                flow.target = server
+                return True
+            flow.target = flow.target or server
+        if flow.target is None:
+            self.balancer.give_up(flow)
+            return False
+        return True
+
+
+class Launch(Stage):
+    """Makes the connect, with a wait that leaves room for another."""
+
+    def onward(self, now: float, flow: Flow) -> bool:
+        server = flow.target
+        assert server is not None
+        connect = Connect(flow, server, now)
+        flow.connects.append(connect)
+        flow.may_have_run = flow.may_have_run or connect
+        server.waiting[connect] = None
+        self.balancer.hold(server, 1)
+        self.balancer.host.connect(flow, server, self.wait(now, flow))
+        return True
+
+    def wait(self, now: float, flow: Flow) -> float:
+        left = flow.give_up_at - self.balancer.margin - now
+        if len(flow.connects) >= self.terms.max_connects:
+            return left
+        patience = max(flow.service_type.setup_target, 4 * self.balancer.gap)
+        return min(patience, left / 2)
+
+    def stands(self, now: float, connect: Connect, delay: float) -> None:
+        connect.established = True
+        connect.server.waiting.pop(connect, None)
+
+    def back(self, now: float, connect: Connect, end: End, delay: float) -> None:
+        connect.over = True
+        connect.server.waiting.pop(connect, None)
+        self.balancer.hold(connect.server, -1)
+        if connect.flow.may_have_run is connect and end in NEVER_RAN:
+            connect.flow.may_have_run = None
+
+
+class Balancer:
+    """One proxy's decisions."""
+
+    def __init__(self, host: Host, terms: Terms, seed: int) -> None:
+        self.host = host
+        self.terms = terms
+        self.rng = Random(seed)
+        self.servers: dict[str, Server] = {}
+        self.ready: list[Server] = []
+        self.held = 0  # connections on ready servers
+        self.gap = 0.0  # usual time to an answer, over the fleet
+        self.margin = 2 * terms.tick
+        self.floor = min(kind.setup_target for kind in terms.service_types.values()) / 4
+        self.begun = -1.0
+        self.counted, self.counted_at = 0.0, 0.0
+        self.failures = 0  # calls for the list that failed in a row
+        self.ring = Ring(self)
+        self.chain: list[Stage] = [
+            Promise(self), self.ring, Drain(self), Effects(self), Cold(self), Health(self), Bound(self),
+            Launch(self),
+        ]
+
+    def flow(
+        self, now: float, handle: object, service_type: str, customer: str, key: int | None,
+        group: int | None, give_up_at: float, midflow: bool, returned: bool, server: Server | None = None,
+    ) -> Flow:
+        spot = self.rng.getrandbits(64)
+        if group is not None:
+            spot = place_on_ring(f"group {group}")
+        elif key is not None:
+            spot = place_on_ring(f"key {key}")
+        kind = self.terms.service_types[service_type]
+        flow = Flow(handle, kind, customer, spot, give_up_at, midflow)
+        if server is not None:
+            connect = Connect(flow, server, now)
+            connect.established = True
+            flow.connects.append(connect)
+            self.hold(server, 1)
+            return flow
+        if not (midflow or returned):
+            self.counted, self.counted_at = self.arrivals(now) * self.terms.ramp_time + 1, now
+        self.place(now, flow)
+        return flow
+
+    def arrivals(self, now: float) -> float:
+        """First arrivals a second, over about the time a server takes to warm."""
+        span = min(self.terms.ramp_time, max(now - self.begun, self.terms.tick))
+        faded = self.counted * max(0.0, 1 - (now - self.counted_at) / self.terms.ramp_time)
+        return faded / span if span < self.terms.ramp_time else faded / self.terms.ramp_time
+
+    def place(self, now: float, flow: Flow) -> None:
+        for stage in self.chain:
+            if not stage.onward(now, flow):
+                return
+
+    def give_up(self, flow: Flow) -> None:
+        """The final answer for a flow that no connect will serve; a reject wherever the rules allow one."""
+        flow.answered = True
+        kind, ran = flow.service_type, flow.may_have_run is not None
+        if not ran or kind.effect is Effect.REPEATABLE or (
+            kind.effect is Effect.REFERENCED and kind.group == "all"
+        ):
+            pause = self.rng.uniform(0.5, 1.0) * self.terms.longest_pause if self.terms.retry_after else 0.0
+            self.host.reject(flow, pause)
+        else:
+            self.host.abort(flow)
+
+    def hold(self, server: Server, change: int) -> None:
+        server.held += change
+        if server.condition is Condition.READY:
+            self.held += change
+
+    def established(self, now: float, flow: Flow, number: int, delay: float) -> None:
+        flow.answered = True
+        for stage in reversed(self.chain):
+            stage.stands(now, flow.connects[number], delay)
+
+    def connect_ended(
+        self, now: float, flow: Flow, number: int, end: End, delay: float, complete: bool,
+        report: list[float] | None,
+    ) -> None:
+        flow.answered = flow.answered or complete
+        for stage in reversed(self.chain):
+            stage.back(now, flow.connects[number], end, delay)
+
+    def lapsed(self, now: float, flow: Flow) -> None:
+        flow.answered = True
+
+    def load_told(self, now: float, flow: Flow, number: int, load: float) -> None:
+        pass
+
+    def message_time_told(self, now: float, flow: Flow, number: int, seconds: float) -> None:
+        pass
+
+    def probe_ended(
+        self, now: float, server: Server, end: End, delay: float, report: list[float] | None
+    ) -> None:
+        pass
+
+    def list_told(
+        self, now: float, entries: list[tuple[str, str, int, Condition, float, float]], whole: bool
+    ) -> None:
+        if self.begun < 0:
+            self.begun = self.counted_at = now
+            if not self.terms.push:
+                self.host.follow_list()
+        else:
+            self.failures = 0
+        if whole:
+            named = {entry[0] for entry in entries}
+            for server in self.servers.values():
+                if server.id not in named:
+                    self.turn(now, server, Condition.GONE)
+        for server_id, zone, cell, condition, _size, started in entries:
+            server = self.servers.get(server_id) or Server(server_id, now)
+            self.servers[server_id] = server
+            server.zone, server.cell = zone, cell
+            self.turn(now, server, condition)
+            if started > server.started:
+                self.restarted(now, server, started)
+        self.ready = [s for s in self.servers.values() if s.condition is Condition.READY]
+        self.held = sum(s.held for s in self.ready)
+        self.ring.build([s for s in self.servers.values() if s.condition is not Condition.GONE])
+
+    def turn(self, now: float, server: Server, condition: Condition) -> None:
+        if server.condition is Condition.READY and condition is not Condition.READY:
+            server.unready_since = now
+        server.condition = condition
+
+    def restarted(self, now: float, server: Server, started: float) -> None:
+        """A new process: what was known of the old one is void, and it is cold."""
+        server.started = started
+        server.trickle, server.silence, server.gap = 0, 0.0, 0.0
+        server.cold_next = now + self.rng.random() * self.terms.fall_time * self.terms.proxies
+
+    def list_failed(self, now: float) -> None:
+        """Danger: every proxy asks again at once and the list's one service never catches up."""
+        self.failures += 1
+        wait = self.terms.ask_within / 16 * 2 ** min(self.failures, 3)
+        self.host.alarm(wait * self.rng.uniform(0.5, 1.0), lambda at: self.host.follow_list())
--- /dev/null
+++ b/brambleplank/host.py
@@ -0,0 +1,162 @@
+"""The interface between the decisions and whatever carries them.
+
+A host (the simulator's wire today, a proxy's sockets later) makes one `decide.Balancer` for each proxy and
+calls in; the balancer calls out through `Host`. All times are seconds with fractions, `now` included. Flows
+and servers are objects on both sides: the host keeps whatever ids its protocol has, and hands over the one id
+that decides something, the server's, in the list. Each call in carries `now`; calls out take effect at it.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from enum import Enum
+from typing import TYPE_CHECKING, Protocol
+
+if TYPE_CHECKING:
+    from brambleplank.decide import Flow, Server
+
+
+class End(Enum):
+    """How a connect, or the connection it became, ended."""
+
+    OK = "ok"
+    ERROR = "error"
+    FULL = "full"
+    TIMEOUT = "timeout"
+    UNREACHABLE = "unreachable"
+    RESET = "reset"
+    CANCELLED = "cancelled"
+    MOOT = "moot"
+
+
+class Effect(Enum):
+    """What happens when a flow of a service type runs twice."""
+
+    REPEATABLE = "repeatable"
+    REFERENCED = "referenced"
+    ONCE_ONLY = "once-only"
+
+
+class Condition(Enum):
+    """What the list says of a server."""
+
+    READY = "ready"
+    DRAINING = "draining"
+    GONE = "gone"
+
+
+@dataclass(frozen=True)
+class ServiceType:
+    """What one service type asks for."""
+
+    setup_target: float
+    effect: Effect
+    group: str  # "all", "zone" or "cell": the servers that drop repeats of a referenced flow
+    window: float
+    value: float
+    message_target: float  # 0 where the site states none
+
+
+@dataclass(frozen=True)
+class Terms:
+    """What the site allows and asks of this proxy, as told at its start."""
+
+    proxies: int
+    tick: float
+    push: bool
+    pass_mode: bool
+    max_connects: int
+    may_probe: bool
+    cancelling: bool
+    retry_after: bool
+    longest_pause: float
+    connect_timeout: float  # of the network: no connection made by then counts as unreachable
+    drain_grace: float
+    ask_within: float
+    cold_from: float
+    ramp_time: float
+    overload_factor: float
+    fall_time: float
+    report_fields: tuple[str, ...]
+    service_types: dict[str, ServiceType]
+    quotas: dict[str, float]  # open connections of each customer within its share, over all proxies
+    beyond_share_value: float
+
+
+class Host(Protocol):
+    """Calls out: what the balancer asks its host to do."""
+
+    def connect(self, flow: Flow, server: Server, max_wait: float) -> None:
+        """Try the flow at the server; connects of a flow are numbered from 0 in the order made."""
+
+    def withdraw(self, flow: Flow, number: int) -> None:
+        """Stop waiting for one connect."""
+
+    def reject(self, flow: Flow, pause: float) -> None:
+        """Final answer: trying again is harmless, best after the pause (0: no advice)."""
+
+    def abort(self, flow: Flow) -> None:
+        """Final answer that promises nothing."""
+
+    def move(self, flow: Flow) -> None:
+        """End an established connection politely; its client comes again."""
+
+    def probe(self, server: Server) -> None:
+        """Send a health check."""
+
+    def follow_list(self) -> None:
+        """Subscribe to the list of servers, missed changes first."""
+
+    def alarm(self, delay: float, call: Callable[[float], None]) -> None:
+        """Call back with the time, not before the delay has passed."""
+
+    def log(self, text: str) -> None:
+        """A line for the people on call."""
+
+
+class Decisions(Protocol):
+    """Calls in: what a host tells a balancer."""
+
+    def flow(
+        self, now: float, handle: object, service_type: str, customer: str, key: int | None,
+        group: int | None, give_up_at: float, midflow: bool, returned: bool, server: Server | None = None,
+    ) -> Flow:
+        """A flow has come; with a server, a connection that is already open there.
+
+        The handle is the host's own and comes back on `Flow.handle`, untouched.
+        """
+
+    def established(self, now: float, flow: Flow, number: int, delay: float) -> None:
+        """A connect stands; it now lasts until `connect_ended`."""
+
+    def connect_ended(
+        self, now: float, flow: Flow, number: int, end: End, delay: float, complete: bool,
+        report: list[float] | None,
+    ) -> None:
+        """A connect is over; complete: nothing more is owed for the flow."""
+
+    def lapsed(self, now: float, flow: Flow) -> None:
+        """The client has left."""
+
+    def load_told(self, now: float, flow: Flow, number: int, load: float) -> None:
+        """The connection's load now, in seconds of work a second."""
+
+    def message_time_told(self, now: float, flow: Flow, number: int, seconds: float) -> None:
+        """How long a message takes now at the server of that connect."""
+
+    def probe_ended(
+        self, now: float, server: Server, end: End, delay: float, report: list[float] | None
+    ) -> None:
+        """The answer to a probe."""
+
+    def list_told(
+        self, now: float, entries: list[tuple[str, str, int, Condition, float, float]], whole: bool
+    ) -> None:
+        """The list, or changes to it: id, zone, cell, condition, size, latest start (0: long ago).
+
+        A server not in a whole list is gone.
+        """
+
+    def list_failed(self, now: float) -> None:
+        """Following the list failed or broke; the list held stays good."""
--- /dev/null
+++ b/brambleplank/wirehost/door.py
@@ -0,0 +1,133 @@
+"""One instance's door: the wire's ids outside, objects inside, both ways."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Any
+
+from brambleplank.decide import Balancer, Flow, Server
+from brambleplank.host import Condition, End
+from brambleplank.wirehost.terms import MICRO, terms_of
+
+ENDS = {
+    0: End.OK, 5: End.ERROR, 11: End.FULL, 110: End.TIMEOUT, 111: End.UNREACHABLE, 104: End.RESET,
+    125: End.CANCELLED, 114: End.MOOT,
+}
+CONDITIONS = {"IN": Condition.READY, "LAME": Condition.DRAINING, "OUT": Condition.GONE}
+MIDFLOW, RETURNED = 8, 16
+LOAD, MESSAGE_TIME = 1, 2
+
+
+class Door:
+    """Carries the calls of one balancer; its `Host`."""
+
+    def __init__(self, name: str, seed: int, info: dict[str, Any], out: list[list[Any]]) -> None:
+        self.name = name
+        self.out = out
+        self.flows: dict[str, Flow] = {}
+        self.alarms: dict[int, Callable[[float], None]] = {}
+        self.next_alarm = 0
+        self.balancer = Balancer(self, terms_of(info), seed)
+
+    # Events, each taking the wire's fields in the wire's order.
+
+    def work_item(
+        self, now: float, flow_id: str, service: str, owner: Any, affinity: int | None,
+        valid_until: int | None, expected: int | None, channel: int | None, options: int | None,
+        server: str | None = None,
+    ) -> None:
+        bits = options or 0
+        flow = self.balancer.flow(
+            now, flow_id, service, owner if isinstance(owner, str) else "", affinity, channel,
+            (valid_until or 0) * MICRO, bool(bits & MIDFLOW), bool(bits & RETURNED),
+            None if server is None else self.balancer.servers.get(server),
+        )
+        self.keep(flow_id, flow)
+
+    def established(self, now: float, flow_id: str, trial: int, server: str, delay: int) -> None:
+        if flow := self.flows.get(flow_id):
+            self.balancer.established(now, flow, trial, delay * MICRO)
+
+    def attempt_end(
+        self, now: float, flow_id: str, trial: int, server: str, reason: int, delay: int, complete: bool,
+        gauge: list[float] | None,
+    ) -> None:
+        if flow := self.flows.get(flow_id):
+            self.balancer.connect_ended(
+                now, flow, trial, ENDS[reason], (delay or 0) * MICRO, complete, gauge
+            )
+            self.keep(flow_id, flow)
+
+    def lapsed(self, now: float, flow_id: str) -> None:
+        if flow := self.flows.get(flow_id):
+            self.balancer.lapsed(now, flow)
+            self.keep(flow_id, flow)
+
+    def change(self, now: float, flow_id: str, server: str, amount: float, trial: int, what: int) -> None:
+        if flow := self.flows.get(flow_id):
+            if what == LOAD:
+                self.balancer.load_told(now, flow, trial, amount * MICRO)
+            elif what == MESSAGE_TIME:
+                self.balancer.message_time_told(now, flow, trial, amount / 1000)
+
+    def elapsed(self, now: float, token: int) -> None:
+        self.alarms.pop(token)(now)
+
+    def probe_result(
+        self, now: float, server: str, reason: int, delay: int, gauge: list[float] | None
+    ) -> None:
+        if record := self.balancer.servers.get(server):
+            self.balancer.probe_ended(now, record, ENDS[reason], (delay or 0) * MICRO, gauge)
+
+    def peer(self, now: float, origin: int, octets: str) -> None:
+        """Peers have nothing to say to each other yet."""
+
+    def roster(self, now: float, how: str, entries: list[list[Any]]) -> None:
+        if how == "FAILED":
+            self.balancer.list_failed(now)
+            return
+        self.balancer.list_told(
+            now,
+            [
+                (e[0], e[1], e[3], CONDITIONS[e[4]], float(e[5] or 1), (e[6] or 0) * MICRO)
+                for e in entries
+            ],
+            how != "INCREMENTAL",
+        )
+
+    def keep(self, flow_id: str, flow: Flow) -> None:
+        if flow.over:
+            self.flows.pop(flow_id, None)
+        else:
+            self.flows[flow_id] = flow
+
+    # Calls out, each one action of the wire.
+
+    def connect(self, flow: Flow, server: Server, max_wait: float) -> None:
+        self.out.append(["DELIVER", self.name, flow.handle, server.id, max(1, round(max_wait / MICRO))])
+
+    def withdraw(self, flow: Flow, number: int) -> None:
+        self.out.append(["REVOKE", self.name, flow.handle, number])
+
+    def reject(self, flow: Flow, pause: float) -> None:
+        self.out.append(["BUSY", self.name, flow.handle, round(pause / MICRO)])
+
+    def abort(self, flow: Flow) -> None:
+        self.out.append(["FAIL", self.name, flow.handle])
+
+    def move(self, flow: Flow) -> None:
+        self.out.append(["SHIFT", self.name, flow.handle])
+
+    def probe(self, server: Server) -> None:
+        self.out.append(["PROBE", self.name, server.id])
+
+    def follow_list(self) -> None:
+        self.out.append(["TRACK", self.name, True])
+
+    def alarm(self, delay: float, call: Callable[[float], None]) -> None:
+        self.next_alarm += 1
+        self.alarms[self.next_alarm] = call
+        self.out.append(["SET_ALARM", self.name, max(0, round(delay / MICRO)), self.next_alarm])
+
+    def log(self, text: str) -> None:
+        self.out.append(["NOTE_DOWN", self.name, text])
--- /dev/null
+++ b/tests/test_stories.py
@@ -0,0 +1,164 @@
+"""One short story for each failure met."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+
+import pytest
+
+from brambleplank.decide import Flow
+from brambleplank.host import Condition, Effect, End
+from tests.conftest import FEED, TERMS, Fake
+
+
+def owner(fake: Fake, key: int) -> str:
+    return next(iter(fake.proxy.ring.round(fake.come(key).spot))).id
+
+
+def test_two_proxies_build_the_same_ring_and_a_lost_server_moves_only_its_keys() -> None:
+    one, other = Fake(seed=1), Fake(seed=2)
+    before = {key: owner(one, key) for key in range(200)}
+    assert before == {key: owner(other, key) for key in range(200)}
+    one.told({"10.0.0.3:80": Condition.GONE})
+    after = {key: owner(one, key) for key in range(200)}
+    moved = {key for key in before if before[key] != after[key]}
+    assert moved == {key for key in before if before[key] == "10.0.0.3:80"} != set()
+
+
+def test_a_group_stays_together_whatever_the_client_keys(fake: Fake) -> None:
+    assert len({fake.stand(fake.come(key, group=3)).connects[0].server for key in range(4)}) == 1
+
+
+def test_an_owner_over_the_bound_is_passed_over(fake: Fake) -> None:
+    placed = [fake.stand(fake.come(7)).connects[0].server for _ in range(8)]
+    assert placed[0] is placed[2] is not placed[7]
+
+
+def test_every_flow_gets_one_final_answer_before_its_connect_timeout(fake: Fake) -> None:
+    flow = fake.come(wait=1.0)
+    fake.pass_time(0.995)
+    assert fake.asked("reject")[0][0] is flow and flow.answered
+    fake.end(flow, End.CANCELLED, complete=True)
+    fake.pass_time(5.0)
+    assert len(fake.asked("reject")) == 1 and len(fake.asked("connect")) == 1 and flow.over
+
+
+def test_a_further_connect_goes_to_another_server_never_two_at_once(fake: Fake) -> None:
+    flow = fake.come()
+    fake.end(flow, End.UNREACHABLE)
+    first, second = (server for _, server, _ in fake.asked("connect"))
+    assert first is not second
+    fake.end(flow, End.FULL)
+    fake.end(flow, End.FULL)
+    assert len(fake.asked("connect")) == 3 and fake.asked("reject")[0][1] > 0
+
+
+@pytest.mark.parametrize(("end", "connects", "answer"), [(End.FULL, 2, "reject"), (End.TIMEOUT, 1, "abort")])
+def test_a_once_only_flow_is_tried_again_only_if_it_provably_never_ran(
+    end: End, connects: int, answer: str
+) -> None:
+    once = replace(FEED, effect=Effect.ONCE_ONLY)
+    fake = Fake(service_types={"feed": once}, max_connects=2)
+    flow = fake.come()
+    fake.end(flow, end)
+    assert len(fake.asked("connect")) == connects
+    if not flow.answered:
+        fake.end(flow, end)
+    assert fake.asked(answer)
+
+
+def test_a_referenced_flow_stays_inside_its_group_and_window() -> None:
+    zoned = replace(FEED, effect=Effect.REFERENCED, group="zone", window=1.0)
+    fake = Fake(service_types={"feed": zoned})
+    flow = fake.come()
+    fake.told({s.id: Condition.READY for s in fake.proxy.ready if s is not flow.connects[0].server}, zone="b")
+    fake.end(flow, End.TIMEOUT)
+    assert flow.connects[1].server is flow.connects[0].server
+    fake.pass_time(1.1)
+    fake.end(flow, End.TIMEOUT)
+    assert len(flow.connects) == 2 and fake.asked("abort") == [flow]
+
+
+def test_a_drained_server_gets_nothing_new(fake: Fake) -> None:
+    server = fake.come(7).connects[0].server
+    fake.told({server.id: Condition.DRAINING})
+    assert fake.come(7).connects[0].server is not server
+
+
+def test_a_midflow_flow_reaches_the_draining_server_that_holds_it_within_the_grace() -> None:
+    fake = Fake(pass_mode=True)
+    server = fake.come(7).connects[0].server
+    fake.told({server.id: Condition.DRAINING})
+    assert fake.come(7, midflow=True).connects[0].server is server
+    fake.pass_time(1.0)
+    assert fake.come(7, midflow=True).connects[0].server is not server
+
+
+def test_a_midflow_flow_goes_to_its_owner_whatever_the_bound(fake: Fake) -> None:
+    placed = {fake.stand(fake.come(7, midflow=True)).connects[0].server for _ in range(9)}
+    assert len(placed) == 1
+
+
+def test_a_cold_server_gets_no_burst(fake: Fake) -> None:
+    fake.serve(40)
+    fake.told({"10.0.0.9:80": Condition.READY}, started=fake.now)
+    cold = fake.server("10.0.0.9:80")
+    for key in range(400):
+        fake.end(fake.stand(fake.come(key)), End.OK, complete=True)
+    assert sum(server is cold for _, server, _ in fake.asked("connect")) <= 1
+    fake.pass_time(TERMS.ramp_time)
+    assert any(fake.come(key).connects[0].server is cold for key in range(40))
+
+
+def silence(fake: Fake, flow: Flow) -> None:
+    """All connects at the flow's server time out until it is set aside."""
+    server = flow.connects[0].server
+    fake.end(flow, End.TIMEOUT, 0.3)
+    while not server.trickle:
+        fake.pass_time(0.3)
+        fake.end(fake.come(7), End.TIMEOUT, 0.3)
+
+
+def test_a_server_that_takes_flows_and_answers_none_is_set_aside_then_trusted_by_doubling(
+    fake: Fake,
+) -> None:
+    fake.serve(20)
+    flow = fake.come(7)
+    server = flow.connects[0].server
+    silence(fake, flow)
+    assert fake.come(7).connects[0].server is not server
+    fake.pass_time(TERMS.ramp_time)
+    trial = fake.come(7)
+    assert trial.connects[0].server is server and fake.come(7).connects[0].server is not server
+    fake.stand(trial)
+    while server.trickle:
+        fake.stand(fake.come(7))
+    assert "trusted again" in fake.asked("log")[-1]
+
+
+def test_a_shared_store_that_slows_all_servers_does_not_eject_the_fleet(fake: Fake) -> None:
+    fake.serve(20)
+    for key in range(60):
+        flow = fake.come(key)
+        fake.pass_time(0.3)
+        while not flow.answered:
+            fake.end(flow, End.TIMEOUT, 0.3)
+    assert 2 * sum(s.trickle > 0 for s in fake.proxy.ready) <= len(fake.proxy.ready) + 1
+
+
+def test_a_restart_with_an_old_list_passes_over_servers_that_are_gone(fake: Fake) -> None:
+    flow = fake.come(7)
+    gone = flow.connects[0].server
+    fake.end(flow, End.UNREACHABLE)
+    assert flow.connects[1].server is not gone
+    assert fake.come(7).connects[0].server is not gone
+
+
+def test_where_the_list_must_be_asked_a_failed_call_is_repeated_spread_out() -> None:
+    proxies = [Fake(push=False, seed=seed) for seed in range(4)]
+    for fake in proxies:
+        fake.proxy.list_failed(fake.now)
+    assert len({fake.alarms[-1][0] for fake in proxies}) == 4
+    for fake in proxies:
+        fake.pass_time(TERMS.ask_within / 2)
+        assert len(fake.asked("follow_list")) == 2
--- /dev/null
+++ b/tests/test_wire.py
@@ -0,0 +1,74 @@
+"""A few lines through the real adapter process."""
+
+from __future__ import annotations
+
+import json
+import subprocess
+import sys
+from typing import Any
+
+import pytest
+
+INFO = {
+    "balancers": 1, "tick_us": 5000, "discovery": "push", "an_unknown_key": 1,
+    "policy_limits": {
+        "max_connects": 3, "may_probe": False, "cancelling": True, "retry_after": True,
+        "max_retry_after_us": 2000000, "connect_timeout_us": 150000,
+    },
+    "rules": {
+        "stop_sending_within_us": 1000000, "ask_within_us": 10000000, "cold_from": 0.2,
+        "ramp_time_us": 20000000, "overload_factor": 3, "fall_us": 2000000,
+    },
+    "service_types": [{"name": "feed", "effect": "repeatable", "setup_target_us": 300000}],
+}
+TABLE = ["TABLE", 0, [["10.0.0.1:80", "a", "m", 0, "IN", 1, None]]]
+START = [["ENLIST", "proxy/0", 1, INFO], TABLE, ["ROSTER_CHANGE", "proxy/0", "SAVED", 1, 0]]
+FLOW = ["WORK_ITEM", "proxy/0", "00000000000000aa", "feed", None, 7, 3000000, None, None, 0]
+
+
+def run(*batches: Any) -> tuple[int, list[Any], str]:
+    lines = [b if isinstance(b, str) else json.dumps({"t_us": 10**6, "news": b}) for b in batches]
+    done = subprocess.run(
+        [sys.executable, "-m", "brambleplank.wirehost"], input="\n".join(lines) + "\n",
+        capture_output=True, text=True, timeout=30, check=False,
+    )
+    return done.returncode, [json.loads(line)["out"] for line in done.stdout.splitlines()], done.stderr
+
+
+def test_a_flow_is_connected_and_news_of_flows_not_held_is_passed_over() -> None:
+    code, replies, said = run([], START, [FLOW, ["LAPSED", "proxy/0", "00000000000000bb"]])
+    assert (code, said, replies[0]) == (0, "", [])
+    assert ["DELIVER", "proxy/0", "00000000000000aa", "10.0.0.1:80"] in [a[:4] for a in replies[2]]
+
+
+def test_a_proxy_that_dies_and_returns_in_one_batch_has_forgotten_its_flows() -> None:
+    end = ["ATTEMPT_END", "proxy/0", "00000000000000aa", 0, "10.0.0.1:80", 110, 300000, False, None]
+    code, replies, _ = run(START, [FLOW], [["DETACH", "proxy/0"], *START], [end])
+    assert code == 0 and replies[-1] == []
+
+
+def test_a_recycled_list_number_means_the_newest_table() -> None:
+    other = ["TABLE", 0, [["10.0.0.2:80", "a", "m", 0, "IN", 1, None]]]
+    _, replies, _ = run([*START, other, ["ROSTER_CHANGE", "proxy/0", "FULL", 2, 0], FLOW])
+    assert "10.0.0.2:80" in [a[3] for a in replies[0] if a[0] == "DELIVER"]
+
+
+@pytest.mark.parametrize(
+    ("line", "named"),
+    [
+        ("{", "not JSON"),
+        ("[]", "t_us"),
+        ('{"t_us":1,"news":[["TEAPOT","proxy/0"]]}', "TEAPOT"),
+        ('{"t_us":1,"news":[["LAPSED","proxy/9","aa"]]}', "proxy/9"),
+        ('{"t_us":1,"news":[["LAPSED","proxy/0"]]}', "LAPSED"),
+        ('{"t_us":1,"news":[["ENLIST","proxy/0",1,{}]]}', "policy_limits"),
+    ],
+)
+def test_malformed_input_is_named_on_stderr_and_ends_the_process(line: str, named: str) -> None:
+    code, replies, said = run(START, line)
+    assert code != 0 and named in said and "Traceback" not in said and len(replies) == 1
+
+
+def test_an_exception_in_the_module_is_told_not_swallowed() -> None:
+    _, replies, _ = run([*START, [*FLOW[:3], "unheard-of", *FLOW[4:]]])
+    assert [a[0] for a in replies[0]] == ["INTERNAL_ERROR"]
