--- a/brambleplank/decide.py
+++ b/brambleplank/decide.py
@@ -24,6 +24,7 @@
 NEVER_RAN = (End.FULL, End.UNREACHABLE, End.MOOT)
 TOO_UNUSUAL = 3.0  # a silence that one gap in a thousand outlasts
 LEARNING = 1 / 8  # weight of the newest gap, as TCP's round-trip estimate has it
+NEWS_PERIOD = 1.0  # seconds between two tellings of a server's message time, as hosts give them
 TRICKLE_FULL = 8  # connects in a row that went well, doubling from one, before a server is trusted again
 
 
@@ -49,6 +50,7 @@
         self.trickle = 0  # connects at once that a server set aside may have; 0: it is not set aside
         self.pause = 0.0
         self.retry_at = 0.0
+        self.strained_until = 0.0
         self.cold_next = 0.0  # when a cold server's budget allows this proxy's next connect
 
 
@@ -249,6 +251,32 @@
             self.set_aside(now, server, end.value)
 
 
+class Strain(Stage):
+    """Passes over a server that shows it has too much: slow messages, or connections it has dropped.
+
+    Danger: its clients come again at once, are placed there by the ring and are dropped again, round and round.
+    """
+
+    def avoids(self, now: float, flow: Flow, server: Server) -> bool:
+        return not flow.midflow and now < server.strained_until
+
+    def slow(self, now: float, server: Server, seconds: float) -> None:
+        """A message's time there; told about once a second while it is long."""
+        if seconds > self.balancer.shortest_message / 3:
+            self.strain(now, server, 3 * NEWS_PERIOD)
+        else:
+            server.strained_until = min(server.strained_until, now)
+
+    def strain(self, now: float, server: Server, span: float) -> None:
+        if now >= server.strained_until:
+            self.balancer.host.log(f"{server.id} strained")
+        server.strained_until = max(server.strained_until, now + span)
+
+    def back(self, now: float, connect: Connect, end: End, delay: float) -> None:
+        if connect.established and end is End.RESET:
+            self.strain(now, connect.server, self.terms.ramp_time / 4)
+
+
 class Bound(Stage):
     """The skip: an owner that holds over twice the mean count plus two is passed over."""
 
@@ -351,10 +379,12 @@
         self.begun = -1.0
         self.counted, self.counted_at = 0.0, 0.0
         self.failures = 0  # calls for the list that failed in a row
+        self.shortest_message = min(kind.message_target for kind in terms.service_types.values())
         self.ring = Ring(self)
+        self.strain = Strain(self)
         self.chain: list[Stage] = [
-            Promise(self), self.ring, Drain(self), Effects(self), Cold(self), Health(self), Bound(self),
-            Launch(self),
+            Promise(self), self.ring, Drain(self), Effects(self), Cold(self), Health(self), self.strain,
+            Bound(self), Launch(self),
         ]
 
     def flow(
@@ -427,7 +457,7 @@
         pass
 
     def message_time_told(self, now: float, flow: Flow, number: int, seconds: float) -> None:
-        pass
+        self.strain.slow(now, flow.connects[number].server, seconds)
 
     def probe_ended(
         self, now: float, server: Server, end: End, delay: float, report: list[float] | None
--- a/tests/test_stories.py
+++ b/tests/test_stories.py
@@ -162,3 +162,20 @@
     for fake in proxies:
         fake.pass_time(TERMS.ask_within / 2)
         assert len(fake.asked("follow_list")) == 2
+
+
+def test_a_server_whose_messages_are_slow_is_passed_over_until_they_are_quick_again(fake: Fake) -> None:
+    flow = fake.stand(fake.come(7))
+    owner = flow.connects[0].server
+    fake.proxy.message_time_told(fake.now, flow, 0, 0.2)
+    assert fake.come(7).connects[0].server is not owner
+    fake.proxy.message_time_told(fake.now, flow, 0, 0.01)
+    assert fake.come(7).connects[0].server is owner
+
+
+def test_a_client_dropped_by_a_full_server_is_not_sent_straight_back(fake: Fake) -> None:
+    flow = fake.stand(fake.come(7))
+    fake.end(flow, End.RESET, complete=True)
+    assert fake.come(7, returned=True).connects[0].server is not flow.connects[0].server
+    fake.pass_time(TERMS.ramp_time)
+    assert fake.come(7).connects[0].server is flow.connects[0].server
