--- a/brambleplank/decide.py
+++ b/brambleplank/decide.py
@@ -21,6 +21,7 @@
 
 POINTS = 63  # as in the paper's tests
 BOUND_FACTOR, BOUND_SPARE = 2, 2  # an owner is full at twice the mean count plus two
+FULL, SLOW, HARMFUL = 1, 2, 3  # how strongly evidence speaks against a server
 NEVER_RAN = (End.FULL, End.UNREACHABLE, End.MOOT)
 TOO_UNUSUAL = 3.0  # a silence that one gap in a thousand outlasts
 LEARNING = 1 / 8  # weight of the newest gap, as TCP's round-trip estimate has it
@@ -50,7 +51,8 @@
         self.trickle = 0  # connects at once that a server set aside may have; 0: it is not set aside
         self.pause = 0.0
         self.retry_at = 0.0
-        self.strained_until = 0.0
+        self.slow_until = 0.0
+        self.dropping_until = 0.0
         self.cold_turn, self.cold_sent = -1.0, 0  # this proxy's latest turn while cold, its connects in it
 
 
@@ -106,8 +108,9 @@
     def forbids(self, now: float, flow: Flow, server: Server) -> bool:
         return False
 
-    def avoids(self, now: float, flow: Flow, server: Server) -> bool:
-        return False
+    def avoids(self, now: float, flow: Flow, server: Server) -> int:
+        """How strongly evidence speaks against the server: 0 not at all, HARMFUL: rather reject."""
+        return 0
 
     def stands(self, now: float, connect: Connect, delay: float) -> None:
         """The connect is established."""
@@ -167,8 +170,8 @@
             return server.zone != first.server.zone
         return server.cell != first.server.cell
 
-    def avoids(self, now: float, flow: Flow, server: Server) -> bool:
-        return any(c.server is server for c in flow.connects)
+    def avoids(self, now: float, flow: Flow, server: Server) -> int:
+        return FULL if any(c.server is server for c in flow.connects) else 0
 
 
 class Cold(Stage):
@@ -207,9 +210,10 @@
 class Health(Stage):
     """Sets aside a server whose silence is unusual, and lets a trickle through that doubles."""
 
-    def avoids(self, now: float, flow: Flow, server: Server) -> bool:
+    def avoids(self, now: float, flow: Flow, server: Server) -> int:
         self.watch(now, server)
-        return server.trickle > 0 and (now < server.retry_at or len(server.waiting) >= server.trickle)
+        closed = server.trickle > 0 and (now < server.retry_at or len(server.waiting) >= server.trickle)
+        return HARMFUL if closed else 0
 
     def unusual(self, now: float, server: Server) -> float:
         """How unusual the present silence is: minus the logarithm of the share of gaps that outlast it."""
@@ -267,34 +271,33 @@
     Danger: its clients come again at once, the ring places them there, they are dropped again, and so on.
     """
 
-    def avoids(self, now: float, flow: Flow, server: Server) -> bool:
-        return not flow.midflow and now < server.strained_until
+    def avoids(self, now: float, flow: Flow, server: Server) -> int:
+        if flow.midflow:
+            return 0
+        if now < server.dropping_until:
+            return HARMFUL
+        return SLOW if now < server.slow_until else 0
 
     def slow(self, now: float, server: Server, seconds: float) -> None:
         """A message's time there; told about once a second while it is long."""
-        if seconds > self.balancer.shortest_message / 3:
-            self.strain(now, server, 3 * NEWS_PERIOD)
+        if seconds > self.balancer.shortest_message:
+            server.slow_until = now + 3 * NEWS_PERIOD
         else:
-            server.strained_until = min(server.strained_until, now)
-
-    def strain(self, now: float, server: Server, span: float) -> None:
-        if now >= server.strained_until:
-            self.balancer.host.log(f"{server.id} strained")
-        server.strained_until = max(server.strained_until, now + span)
+            server.slow_until = now
 
     def back(self, now: float, connect: Connect, end: End, delay: float) -> None:
         if connect.established and end is End.RESET:
-            self.strain(now, connect.server, self.terms.ramp_time / 4)
+            if now >= connect.server.dropping_until:
+                self.balancer.host.log(f"{connect.server.id} drops connections")
+            connect.server.dropping_until = now + self.terms.fall_time
 
 
 class Bound(Stage):
     """The skip: an owner that holds over twice the mean count plus two is passed over."""
 
-    def avoids(self, now: float, flow: Flow, server: Server) -> bool:
-        if flow.midflow:
-            return False
+    def avoids(self, now: float, flow: Flow, server: Server) -> int:
         mean = self.balancer.held / max(1, len(self.balancer.ready))
-        return server.held > BOUND_FACTOR * mean + BOUND_SPARE
+        return FULL if not flow.midflow and server.held > BOUND_FACTOR * mean + BOUND_SPARE else 0
 
 
 class Ring(Stage):
@@ -325,16 +328,18 @@
                     return
 
     def onward(self, now: float, flow: Flow) -> bool:
-        flow.target = None
+        flow.target, least = None, HARMFUL
         stages = self.balancer.chain
         for server in self.round(flow.spot):
             if any(stage.forbids(now, flow, server) for stage in stages):
                 continue
-            if not any(stage.avoids(now, flow, server) for stage in stages):
-                flow.target = server
-                return True
-            flow.target = flow.target or server
+            against = max(stage.avoids(now, flow, server) for stage in stages)
+            if against < least:
+                flow.target, least = server, against
+                if not against:
+                    break
         if flow.target is None:
+            # Danger: where all that may take it are dropping connections, one more drops another.
             self.balancer.give_up(flow)
             return False
         return True
