--- a/brambleplank/decide.py
+++ b/brambleplank/decide.py
@@ -51,6 +51,7 @@
         self.trickle = 0  # connects at once that a server set aside may have; 0: it is not set aside
         self.pause = 0.0
         self.retry_at = 0.0
+        self.groups: dict[int, dict[Flow, None]] = {}  # established here, by their place on the ring
         self.slow_until = 0.0
         self.dropping_until = 0.0
         self.cold_turn, self.cold_sent = -1.0, 0  # this proxy's latest turn while cold, its connects in it
@@ -280,11 +281,26 @@
 
     def slow(self, now: float, server: Server, seconds: float) -> None:
         """A message's time there; told about once a second while it is long."""
-        if seconds > self.balancer.shortest_message:
+        if seconds > self.balancer.shortest_message / 3:
             server.slow_until = now + 3 * NEWS_PERIOD
+            self.relieve(now, server)
         else:
             server.slow_until = now
 
+    def relieve(self, now: float, server: Server) -> None:
+        """Moves the smallest group there, whole, to where the ring now sends it.
+
+        Danger: a server with too much stays slow for as long as its connections live. A small group takes
+        with it the work it shares; one member of a large group would only double that work.
+        """
+        if not server.groups:
+            return
+        smallest = min(server.groups, key=lambda spot: (len(server.groups[spot]), spot))
+        for flow in list(server.groups[smallest]):
+            self.balancer.host.move(flow)
+            self.balancer.leave(flow)
+            flow.answered = True
+
     def back(self, now: float, connect: Connect, end: End, delay: float) -> None:
         if connect.established and end is End.RESET:
             if now >= connect.server.dropping_until:
@@ -367,11 +383,12 @@
         return min(patience, left / 2)
 
     def stands(self, now: float, connect: Connect, delay: float) -> None:
-        connect.established = True
         connect.server.waiting.pop(connect, None)
+        self.balancer.settle(connect)
 
     def back(self, now: float, connect: Connect, end: End, delay: float) -> None:
         connect.over = True
+        self.balancer.leave(connect.flow)
         connect.server.waiting.pop(connect, None)
         self.balancer.hold(connect.server, -1)
         if connect.flow.may_have_run is connect and end in NEVER_RAN:
@@ -415,9 +432,9 @@
         flow = Flow(handle, kind, customer, spot, give_up_at, midflow)
         if server is not None:
             connect = Connect(flow, server, now)
-            connect.established = True
             flow.connects.append(connect)
             self.hold(server, 1)
+            self.settle(connect)
             return flow
         self.place(now, flow)
         return flow
@@ -449,6 +466,18 @@
         if server.condition is Condition.READY:
             self.held += change
 
+    def settle(self, connect: Connect) -> None:
+        connect.established = True
+        connect.server.groups.setdefault(connect.flow.spot, {})[connect.flow] = None
+
+    def leave(self, flow: Flow) -> None:
+        """The flow's connection no longer counts for its group."""
+        groups = flow.connects[-1].server.groups
+        if flow in groups.get(flow.spot, ()):
+            del groups[flow.spot][flow]
+            if not groups[flow.spot]:
+                del groups[flow.spot]
+
     def established(self, now: float, flow: Flow, number: int, delay: float) -> None:
         flow.answered = True
         for stage in reversed(self.chain):
