--- a/brambleplank/decide.py
+++ b/brambleplank/decide.py
@@ -53,6 +53,7 @@
         self.retry_at = 0.0
         self.groups: dict[int, dict[Flow, None]] = {}  # established here, by their place on the ring
         self.slow_until = 0.0
+        self.relieved = 0.0  # when a group was last moved away
         self.dropping_until = 0.0
         self.cold_turn, self.cold_sent = -1.0, 0  # this proxy's latest turn while cold, its connects in it
 
@@ -293,10 +294,15 @@
         Danger: a server with too much stays slow for as long as its connections live. A small group takes
         with it the work it shares; one member of a large group would only double that work.
         """
-        if not server.groups:
+        if now < server.relieved + self.terms.fall_time or not server.groups:
             return
         smallest = min(server.groups, key=lambda spot: (len(server.groups[spot]), spot))
-        for flow in list(server.groups[smallest]):
+        flows = list(server.groups[smallest])
+        slow = sum(now < s.slow_until or now < s.dropping_until for s in self.balancer.ready)
+        if 2 * len(flows) > server.held or 3 * slow > len(self.balancer.ready):
+            return  # Danger: a hot group, or a fleet short of room, is only chased from server to server.
+        server.relieved = now
+        for flow in flows:
             self.balancer.host.move(flow)
             self.balancer.leave(flow)
             flow.answered = True
