Let only a group over half the mean count plus one stay where it is

Cause: a damper on dominant groups judged them by their own server, so that with few connections a proxy nothing moved at all. Judged by the mean server's count instead.

--- a/brambleplank/decide.py
+++ b/brambleplank/decide.py
@@ -53,7 +53,6 @@
         self.retry_at = 0.0
         self.groups: dict[int, dict[Flow, None]] = {}  # established here, by their place on the ring
         self.slow_until = 0.0
-        self.relieved = 0.0  # when a group was last moved away
         self.dropping_until = 0.0
         self.cold_turn, self.cold_sent = -1.0, 0  # this proxy's latest turn while cold, its connects in it
 
@@ -294,14 +293,13 @@
         Danger: a server with too much stays slow for as long as its connections live. A small group takes
         with it the work it shares; one member of a large group would only double that work.
         """
-        if now < server.relieved + self.terms.fall_time or not server.groups:
+        if not server.groups:
             return
         smallest = min(server.groups, key=lambda spot: (len(server.groups[spot]), spot))
         flows = list(server.groups[smallest])
         slow = sum(now < s.slow_until or now < s.dropping_until for s in self.balancer.ready)
-        if 2 * len(flows) > server.held or 3 * slow > len(self.balancer.ready):
+        if len(flows) > self.balancer.mean() / 2 + 1 or 3 * slow > len(self.balancer.ready):
             return  # Danger: a hot group, or a fleet short of room, is only chased from server to server.
-        server.relieved = now
         for flow in flows:
             self.balancer.host.move(flow)
             self.balancer.leave(flow)
@@ -318,8 +316,8 @@
     """The skip: an owner that holds over twice the mean count plus two is passed over."""
 
     def avoids(self, now: float, flow: Flow, server: Server) -> int:
-        mean = self.balancer.held / max(1, len(self.balancer.ready))
-        return FULL if not flow.midflow and server.held > BOUND_FACTOR * mean + BOUND_SPARE else 0
+        over = server.held > BOUND_FACTOR * self.balancer.mean() + BOUND_SPARE
+        return FULL if over and not flow.midflow else 0
 
 
 class Ring(Stage):
@@ -445,6 +443,9 @@
         self.place(now, flow)
         return flow
 
+    def mean(self) -> float:
+        return self.held / max(1, len(self.ready))
+
     def served_rate(self, now: float) -> float:
         """Connections a second that ended well lately: what the servers carry, whatever storms arrive."""
         span = self.terms.ramp_time
--- a/tests/test_stories.py
+++ b/tests/test_stories.py
@@ -185,3 +185,20 @@
     assert fake.come(7, returned=True).connects[0].server is not flow.connects[0].server
     fake.pass_time(TERMS.ramp_time)
     assert fake.come(7).connects[0].server is flow.connects[0].server
+
+
+def test_a_slow_server_is_relieved_of_its_smallest_group_but_a_hot_group_is_not_chased(fake: Fake) -> None:
+    hot = [fake.stand(fake.come(group=1)) for _ in range(6)]
+    server = hot[0].connects[0].server
+    fake.proxy.message_time_told(fake.now, hot[0], 0, 0.2)
+    assert not fake.asked("move")
+    small = [fake.come(group=2, at=server)]
+    fake.proxy.message_time_told(fake.now, hot[0], 0, 0.2)
+    assert fake.asked("move") == small and small[0].answered
+
+
+def test_a_client_of_a_fleet_that_drops_connections_is_told_when_to_come_back() -> None:
+    fake = Fake(servers=1)
+    fake.end(fake.stand(fake.come()), End.RESET, complete=True)
+    flow = fake.come(returned=True)
+    assert not flow.connects and fake.asked("reject")[0][1] > 0
