--- a/brambleplank/decide.py
+++ b/brambleplank/decide.py
@@ -15,6 +15,7 @@
 from bisect import bisect_right
 from collections.abc import Iterator
 from hashlib import md5
+from math import inf
 from random import Random
 
 from brambleplank.host import Condition, Effect, End, Host, ServiceType, Terms
@@ -256,6 +257,8 @@
         server = connect.server
         if connect.established or end in (End.OK, End.CANCELLED, End.MOOT):
             return
+        if self.balancer.gate.shut and end in (End.ERROR, End.TIMEOUT):
+            return  # what is shared fails; the server is not to blame
         if end is End.TIMEOUT:
             server.silence += delay
             if server.trickle:
@@ -365,6 +368,52 @@
         return True
 
 
+class Gate(Stage):
+    """Caps the connects out while most of them fail wherever they go.
+
+    Danger: behind the servers stands something shared, a store or a network. Once it is late every flow is
+    connected again, its client comes again, and the repeats keep it late long after the cause has gone.
+    """
+
+    def __init__(self, balancer: Balancer) -> None:
+        super().__init__(balancer)
+        self.failing = 0.0  # share of connects that failed lately
+        self.out = 0
+        self.window = inf  # connects that may be out; without bound in good times
+
+    def onward(self, now: float, flow: Flow) -> bool:
+        if self.out >= self.window and (flow.connects or not flow.midflow):
+            self.balancer.give_up(flow)
+            return False
+        self.out += 1
+        return True
+
+    def stands(self, now: float, connect: Connect, delay: float) -> None:
+        self.out -= 1
+        self.failing -= LEARNING * self.failing
+        self.window += 1
+        if self.window < inf and self.window > 2 * len(self.balancer.ready):
+            self.window = inf
+            self.balancer.host.log("gate open: connects are answered again")
+
+    def back(self, now: float, connect: Connect, end: End, delay: float) -> None:
+        if connect.established:
+            return
+        self.out -= 1
+        if end not in (End.ERROR, End.TIMEOUT, End.CANCELLED):
+            return
+        self.failing += LEARNING * (1 - self.failing)
+        if self.failing > 0.5:
+            if self.window == inf:
+                self.balancer.host.log("gate narrows: most connects fail, whichever server they go to")
+            self.window = max(1, min(self.window, self.out) / 2)
+            self.failing = 0.25
+
+    @property
+    def shut(self) -> bool:
+        return self.window < inf
+
+
 class Launch(Stage):
     """Makes the connect, with a wait that leaves room for another."""
 
@@ -418,9 +467,10 @@
         self.shortest_message = min(kind.message_target for kind in terms.service_types.values())
         self.ring = Ring(self)
         self.strain = Strain(self)
+        self.gate = Gate(self)
         self.chain: list[Stage] = [
             Promise(self), self.ring, Drain(self), Effects(self), Cold(self), Health(self), self.strain,
-            Bound(self), Launch(self),
+            Bound(self), self.gate, Launch(self),
         ]
 
     def flow(
