--- a/brambleplank/decide.py
+++ b/brambleplank/decide.py
@@ -21,7 +21,7 @@
 from brambleplank.host import Condition, Effect, End, Host, ServiceType, Terms
 
 POINTS = 63  # as in the paper's tests
-BOUND_FACTOR, BOUND_SPARE = 2, 2  # an owner is full at twice the mean count plus two
+BOUND_FACTOR, BOUND_SPARE = 4, 12  # an owner is full at twice the mean count plus two
 FULL, SLOW, HARMFUL = 1, 2, 3  # how strongly evidence speaks against a server
 NEVER_RAN = (End.FULL, End.UNREACHABLE, End.MOOT)
 TOO_UNUSUAL = 3.0  # a silence that one gap in a thousand outlasts
