Keep a displaced group together where its latest member went

Cause: each time the evidence against a server came or went, the next members of its groups went elsewhere, and every server that holds any of a group pays for the group.

--- a/brambleplank/decide.py
+++ b/brambleplank/decide.py
@@ -15,13 +15,14 @@
 from bisect import bisect_right
 from collections.abc import Iterator
 from hashlib import md5
+from itertools import chain
 from math import inf
 from random import Random
 
 from brambleplank.host import Condition, Effect, End, Host, ServiceType, Terms
 
 POINTS = 63  # as in the paper's tests
-BOUND_FACTOR, BOUND_SPARE = 4, 12  # an owner is full at twice the mean count plus two
+BOUND_FACTOR, BOUND_SPARE = 2, 2  # an owner is full at twice the mean count plus two
 FULL, SLOW, HARMFUL = 1, 2, 3  # how strongly evidence speaks against a server
 NEVER_RAN = (End.FULL, End.UNREACHABLE, End.MOOT)
 TOO_UNUSUAL = 3.0  # a silence that one gap in a thousand outlasts
@@ -353,7 +354,8 @@
     def onward(self, now: float, flow: Flow) -> bool:
         flow.target, least = None, HARMFUL
         stages = self.balancer.chain
-        for server in self.round(flow.spot):
+        home = self.balancer.homes.get(flow.spot)
+        for server in chain([home] if home else [], self.round(flow.spot)):
             if any(stage.forbids(now, flow, server) for stage in stages):
                 continue
             against = max(stage.avoids(now, flow, server) for stage in stages)
@@ -466,6 +468,7 @@
         self.failures = 0  # calls for the list that failed in a row
         self.shortest_message = min(kind.message_target for kind in terms.service_types.values())
         self.ring = Ring(self)
+        self.homes: dict[int, Server] = {}
         self.strain = Strain(self)
         self.gate = Gate(self)
         self.chain: list[Stage] = [
@@ -525,6 +528,7 @@
 
     def settle(self, connect: Connect) -> None:
         connect.established = True
+        self.homes[connect.flow.spot] = connect.server
         connect.server.groups.setdefault(connect.flow.spot, {})[connect.flow] = None
 
     def leave(self, flow: Flow) -> None:
@@ -534,6 +538,8 @@
             del groups[flow.spot][flow]
             if not groups[flow.spot]:
                 del groups[flow.spot]
+                if self.homes.get(flow.spot) is flow.connects[-1].server:
+                    del self.homes[flow.spot]
 
     def established(self, now: float, flow: Flow, number: int, delay: float) -> None:
         flow.answered = True
