--- a/brambleplank/decide.py
+++ b/brambleplank/decide.py
@@ -339,6 +339,9 @@
         self.owners = [server for _, _, server in arcs]
         self.count = len(servers)
 
+    def owner(self, spot: int) -> Server | None:
+        return self.owners[bisect_right(self.points, spot) - 1] if self.owners else None
+
     def round(self, spot: int) -> Iterator[Server]:
         """The distinct servers from the spot's owner on."""
         start = bisect_right(self.points, spot) - 1
@@ -528,7 +531,8 @@
 
     def settle(self, connect: Connect) -> None:
         connect.established = True
-        self.homes[connect.flow.spot] = connect.server
+        if connect.server is not self.ring.owner(connect.flow.spot):
+            self.homes[connect.flow.spot] = connect.server
         connect.server.groups.setdefault(connect.flow.spot, {})[connect.flow] = None
 
     def leave(self, flow: Flow) -> None:
--- a/tests/test_stories.py
+++ b/tests/test_stories.py
@@ -202,3 +202,30 @@
     fake.end(fake.stand(fake.come()), End.RESET, complete=True)
     flow = fake.come(returned=True)
     assert not flow.connects and fake.asked("reject")[0][1] > 0
+
+
+def test_a_displaced_group_stays_together_until_its_last_member_has_left(fake: Fake) -> None:
+    first = fake.stand(fake.come(group=1))
+    owner = first.connects[0].server
+    fake.proxy.message_time_told(fake.now, first, 0, 0.2)
+    away = fake.stand(fake.come(group=1))
+    fake.proxy.message_time_told(fake.now, first, 0, 0.01)
+    later = fake.stand(fake.come(group=1))
+    assert later.connects[0].server is away.connects[0].server is not owner
+    for flow in (away, later):
+        fake.end(flow, End.OK, complete=True)
+    assert fake.come(group=1).connects[0].server is owner
+
+
+def test_a_store_that_fails_everywhere_is_not_buried_under_repeats(fake: Fake) -> None:
+    for key in range(30):
+        flow = fake.come(key, wait=9.0)
+        while not flow.answered:
+            fake.end(flow, End.ERROR)
+    waiting = [fake.come(key) for key in range(30)]
+    assert sum(len(flow.connects) for flow in waiting) <= 2 and not any(s.trickle for s in fake.proxy.ready)
+    open_now = next(flow for flow in waiting if flow.connects)
+    for key in range(30):
+        fake.stand(open_now)
+        open_now = fake.come(key)
+    assert not fake.proxy.gate.shut
