Estimate what servers carry without bias early in a proxy's life

Cause: the served rate was divided by the whole warm-up from the first second on, so a proxy that had just started gave cold servers nothing.

--- a/brambleplank/decide.py
+++ b/brambleplank/decide.py
@@ -16,7 +16,7 @@
 from collections.abc import Iterator
 from hashlib import md5
 from itertools import chain
-from math import inf
+from math import exp, inf
 from random import Random
 
 from brambleplank.host import Condition, Effect, End, Host, ServiceType, Terms
@@ -466,7 +466,7 @@
         self.gap = 0.0  # usual time to an answer, over the fleet
         self.margin = 2 * terms.tick
         self.floor = min(kind.setup_target for kind in terms.service_types.values()) / 4
-        self.begun = False
+        self.begun = -1.0  # when the first list came
         self.served, self.served_at = 0.0, 0.0  # ends that were well, fading over the time servers warm
         self.failures = 0  # calls for the list that failed in a row
         self.shortest_message = min(kind.message_target for kind in terms.service_types.values())
@@ -504,8 +504,8 @@
 
     def served_rate(self, now: float) -> float:
         """Connections a second that ended well lately: what the servers carry, whatever storms arrive."""
-        span = self.terms.ramp_time
-        return self.served * max(0.0, 1 - (now - self.served_at) / span) / span
+        span, watched = self.terms.ramp_time, max(now - self.begun, self.terms.fall_time)
+        return self.served * exp((self.served_at - now) / span) / (span * (1 - exp(-watched / span)))
 
     def place(self, now: float, flow: Flow) -> None:
         for stage in self.chain:
@@ -556,7 +556,8 @@
     ) -> None:
         flow.answered = flow.answered or complete
         if end is End.OK:
-            self.served, self.served_at = self.served_rate(now) * self.terms.ramp_time + 1, now
+            faded = self.served * exp((self.served_at - now) / self.terms.ramp_time)
+            self.served, self.served_at = faded + 1, now
         for stage in reversed(self.chain):
             stage.back(now, flow.connects[number], end, delay)
 
@@ -577,8 +578,8 @@
     def list_told(
         self, now: float, entries: list[tuple[str, str, int, Condition, float, float]], whole: bool
     ) -> None:
-        if not self.begun:
-            self.begun = True
+        if self.begun < 0:
+            self.begun = self.served_at = now
             if not self.terms.push:
                 self.host.follow_list()
         else:
