--- a/brambleplank/decide.py
+++ b/brambleplank/decide.py
@@ -54,7 +54,8 @@
         self.pause = 0.0
         self.retry_at = 0.0
         self.groups: dict[int, dict[Flow, None]] = {}  # established here, by their place on the ring
-        self.slow_until = 0.0
+        self.slow_until = 0.0  # its messages take long
+        self.useless_until = 0.0  # so long that no message there is in time
         self.dropping_until = 0.0
         self.cold_turn, self.cold_sent = -1.0, 0  # this proxy's latest turn while cold, its connects in it
 
@@ -279,12 +280,13 @@
     def avoids(self, now: float, flow: Flow, server: Server) -> int:
         if flow.midflow:
             return 0
-        if now < server.dropping_until:
+        if now < server.dropping_until or now < server.useless_until:
             return HARMFUL
         return SLOW if now < server.slow_until else 0
 
     def slow(self, now: float, server: Server, seconds: float) -> None:
         """A message's time there; told about once a second while it is long."""
+        server.useless_until = now + 3 * NEWS_PERIOD if seconds > self.balancer.longest_message else now
         if seconds > self.balancer.shortest_message / 3:
             server.slow_until = now + 3 * NEWS_PERIOD
             self.relieve(now, server)
@@ -470,6 +472,7 @@
         self.served, self.served_at = 0.0, 0.0  # ends that were well, fading over the time servers warm
         self.failures = 0  # calls for the list that failed in a row
         self.shortest_message = min(kind.message_target for kind in terms.service_types.values())
+        self.longest_message = max(kind.message_target for kind in terms.service_types.values())
         self.ring = Ring(self)
         self.homes: dict[int, Server] = {}
         self.strain = Strain(self)
