--- a/brambleplank/decide.py
+++ b/brambleplank/decide.py
@@ -349,7 +349,9 @@
     def avoids(self, now: float, flow: Flow, server: Server) -> int:
         mean = self.faded(now, self.recent, self.at) / max(1, len(self.balancer.ready))
         sent = self.faded(now, server.recent, server.recent_at)
-        return HARMFUL if sent > BOUND_FACTOR * mean + BOUND_SPARE and not flow.midflow else 0
+        calm = min(64.0, (now - max(server.slow_until, server.dropping_until)) / (2 * NEWS_PERIOD))
+        allowed = min(BOUND_FACTOR * mean + BOUND_SPARE, 2**calm)
+        return HARMFUL if sent >= allowed and not flow.midflow else 0
 
     def onward(self, now: float, flow: Flow) -> bool:
         server = flow.target
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -51,6 +51,11 @@
         self.proxy.established(self.now, flow, len(flow.connects) - 1, delay)
         return flow
 
+    def come_and_stand(self) -> bool:
+        """Whether a flow that comes is connected; if so it stands."""
+        flow = self.come()
+        return bool(flow.connects and self.stand(flow))
+
     def end(self, flow: Flow, end: End, delay: float = 0.1, complete: bool = False) -> None:
         self.proxy.connect_ended(self.now, flow, len(flow.connects) - 1, end, delay, complete, None)
 
--- a/tests/test_stories.py
+++ b/tests/test_stories.py
@@ -176,6 +176,7 @@
     fake.proxy.message_time_told(fake.now, flow, 0, 0.2)
     assert fake.come(7).connects[0].server is not owner
     fake.proxy.message_time_told(fake.now, flow, 0, 0.01)
+    fake.pass_time(10.0)
     assert fake.come(7).connects[0].server is owner
 
 
@@ -214,6 +215,7 @@
     assert later.connects[0].server is away.connects[0].server is not owner
     for flow in (away, later):
         fake.end(flow, End.OK, complete=True)
+    fake.pass_time(10.0)
     assert fake.come(group=1).connects[0].server is owner
 
 
@@ -230,3 +232,26 @@
         fake.stand(open_now)
         open_now = fake.come(key)
     assert not fake.proxy.gate.shut
+
+
+def test_a_server_that_is_quick_again_is_refilled_by_a_trickle_that_doubles() -> None:
+    fake = Fake(servers=1)
+    flow = fake.stand(fake.come())
+    fake.proxy.message_time_told(fake.now, flow, 0, 0.2)
+    fake.proxy.message_time_told(fake.now, flow, 0, 0.01)
+    taken = []
+    for _ in range(3):
+        taken.append(sum(fake.come_and_stand() for _ in range(30)))
+        fake.pass_time(4.0)
+    assert taken[0] <= 1 < taken[1] < taken[2] < 30
+
+
+def test_a_server_that_dropped_its_clients_is_not_filled_to_the_same_brim() -> None:
+    fake = Fake(servers=1)
+    held = [fake.come(at=fake.proxy.ready[0]) for _ in range(8)]
+    for flow in held:
+        fake.end(flow, End.RESET, complete=True)
+    for _ in range(30):
+        fake.pass_time(0.3)
+        fake.come_and_stand()
+    assert 0 < fake.proxy.ready[0].held <= 7
