--- a/brambleplank/decide.py
+++ b/brambleplank/decide.py
@@ -56,7 +56,7 @@
         self.groups: dict[int, dict[Flow, None]] = {}  # established here, by their place on the ring
         self.recent, self.recent_at = 0.0, 0.0  # this proxy's connects there, fading
         self.limit, self.limited_at = inf, 0.0
-        self.slow_until = 0.0
+        self.slow_since = self.slow_until = 0.0
         self.dropping_until = 0.0
         self.cold_turn, self.cold_sent = -1.0, 0  # this proxy's latest turn while cold, its connects in it
 
@@ -288,6 +288,8 @@
     def slow(self, now: float, server: Server, seconds: float) -> None:
         """A message's time there; told about once a second while it is long."""
         if seconds > self.balancer.shortest_message / 3:
+            if now > server.slow_until:
+                server.slow_since = now
             server.slow_until = now + 3 * NEWS_PERIOD
             self.relieve(now, server)
         else:
@@ -308,9 +310,11 @@
             return
         smallest = min(server.groups, key=lambda spot: (len(server.groups[spot]), spot))
         flows = list(server.groups[smallest])
+        if len(flows) > self.balancer.mean() / 2 + 1:
+            flows = flows[-1:] if now > server.slow_since + 3 * NEWS_PERIOD else []
         slow = sum(now < s.slow_until or now < s.dropping_until for s in self.balancer.ready)
-        if len(flows) > self.balancer.mean() / 2 + 1 or 3 * slow > len(self.balancer.ready):
-            return  # Danger: a hot group, or a fleet short of room, is only chased from server to server.
+        if 3 * slow > len(self.balancer.ready):
+            return  # Danger: a fleet short of room only chases its groups from server to server.
         for flow in flows:
             self.balancer.host.move(flow)
             self.balancer.leave(flow)
--- a/tests/test_stories.py
+++ b/tests/test_stories.py
@@ -255,3 +255,11 @@
         fake.pass_time(0.3)
         fake.come_and_stand()
     assert 0 < fake.proxy.ready[0].held <= 7
+
+
+def test_a_hot_group_on_a_lastingly_slow_server_is_thinned_one_by_one(fake: Fake) -> None:
+    hot = [fake.stand(fake.come(group=1)) for _ in range(6)]
+    for _ in range(6):
+        fake.proxy.message_time_told(fake.now, hot[0], 0, 0.2)
+        fake.pass_time(1.0)
+    assert 0 < len(fake.asked("move")) < 4
