--- a/brambleplank/decide.py
+++ b/brambleplank/decide.py
@@ -87,7 +87,6 @@
         self.midflow = midflow
         self.connects: list[Connect] = []
         self.target: Server | None = None
-        self.beyond_share = False
         self.answered = False  # nothing more is owed to the client
         self.may_have_run: Connect | None = None  # the first connect not proved never to have run
 
@@ -151,30 +150,6 @@
             self.balancer.place(now, connect.flow)
 
 
-class Share(Stage):
-    """Counts what each customer holds here, to know who is beyond its share.
-
-    Danger: where room is short, one customer's surge takes it from all the others.
-    """
-
-    def __init__(self, balancer: Balancer) -> None:
-        super().__init__(balancer)
-        self.held = dict.fromkeys(self.terms.quotas, 0)
-
-    def onward(self, now: float, flow: Flow) -> bool:
-        quota = self.terms.quotas.get(flow.customer, inf)
-        flow.beyond_share = self.held.get(flow.customer, 0) * self.terms.proxies > quota
-        return True
-
-    def count(self, flow: Flow, change: int) -> None:
-        if flow.customer in self.held:
-            self.held[flow.customer] += change
-
-    def back(self, now: float, connect: Connect, end: End, delay: float) -> None:
-        if connect.established:
-            self.count(connect.flow, -1)
-
-
 class Drain(Stage):
     """Nothing new to a server that drains or is gone. A mid-flow flow may still reach it within the grace."""
 
@@ -316,7 +291,7 @@
             if now > server.slow_until:
                 server.slow_since = now
             server.slow_until = now + 3 * NEWS_PERIOD
-            self.relieve(now, server)
+            self.relieve(now, server, seconds > self.balancer.shortest_message)
         else:
             server.slow_until = now
 
@@ -325,7 +300,7 @@
         warmups = min(64.0, (now - server.limited_at) / self.terms.ramp_time)
         return max(1.0, server.limit * 2**warmups)
 
-    def relieve(self, now: float, server: Server) -> None:
+    def relieve(self, now: float, server: Server, late: bool) -> None:
         """Moves the smallest group there, whole, to where the ring now sends it.
 
         Danger: a server with too much stays slow for as long as its connections live. A small group takes
@@ -336,7 +311,7 @@
         smallest = min(server.groups, key=lambda spot: (len(server.groups[spot]), spot))
         flows = list(server.groups[smallest])
         if len(flows) > self.balancer.mean() / 2 + 1:
-            flows = flows[-1:] if now > server.slow_since + 3 * NEWS_PERIOD else []
+            flows = flows[-1:] if late or now > server.slow_since + 3 * NEWS_PERIOD else []
         slow = sum(now < s.slow_until or now < s.dropping_until for s in self.balancer.ready)
         if 3 * slow > len(self.balancer.ready):
             return  # Danger: a fleet short of room only chases its groups from server to server.
@@ -421,7 +396,7 @@
                     return
 
     def onward(self, now: float, flow: Flow) -> bool:
-        flow.target, least = None, SLOW if flow.beyond_share else HARMFUL
+        flow.target, least = None, HARMFUL
         stages = self.balancer.chain
         home = self.balancer.homes.get(flow.spot)
         for server in chain([home] if home else [], self.round(flow.spot)):
@@ -538,11 +513,10 @@
         self.shortest_message = min(kind.message_target for kind in terms.service_types.values())
         self.ring = Ring(self)
         self.homes: dict[int, Server] = {}
-        self.share = Share(self)
         self.strain = Strain(self)
         self.gate = Gate(self)
         self.chain: list[Stage] = [
-            Promise(self), self.share, self.ring, Drain(self), Effects(self), Cold(self), Health(self), self.strain,
+            Promise(self), self.ring, Drain(self), Effects(self), Cold(self), Health(self), self.strain,
             Bound(self), Pace(self), self.gate, Launch(self),
         ]
 
@@ -598,7 +572,6 @@
 
     def settle(self, connect: Connect) -> None:
         connect.established = True
-        self.share.count(connect.flow, 1)
         if connect.server is not self.ring.owner(connect.flow.spot):
             self.homes[connect.flow.spot] = connect.server
         connect.server.groups.setdefault(connect.flow.spot, {})[connect.flow] = None
