Look at no more than two servers for a small group when the fleet is short of room

Where over a third of the fleet is strained, a flow looks at two servers round the ring, more for a group as large as what servers hold; the ring makes them the same two at every proxy.

--- a/brambleplank/decide.py
+++ b/brambleplank/decide.py
@@ -278,6 +278,10 @@
     Danger: its clients come again at once, the ring places them there, they are dropped again, and so on.
     """
 
+    def __init__(self, balancer: Balancer) -> None:
+        super().__init__(balancer)
+        self.looked, self.is_short = 0.0, False
+
     def avoids(self, now: float, flow: Flow, server: Server) -> int:
         if flow.midflow:
             return 0
@@ -300,6 +304,24 @@
         warmups = min(64.0, (now - server.limited_at) / self.terms.ramp_time)
         return max(1.0, server.limit * 2**warmups)
 
+    def short(self, now: float) -> bool:
+        """Whether over a third of the fleet shows strain; looked at anew once a telling."""
+        if now >= self.looked + NEWS_PERIOD / 2:
+            ready = self.balancer.ready
+            strained = sum(now < s.slow_until or now < s.dropping_until for s in ready)
+            self.is_short, self.looked = 3 * strained > len(ready), now
+        return self.is_short
+
+    def reach(self, now: float, flow: Flow) -> float:
+        """How many servers round the ring a flow may look at.
+
+        Danger: every server that holds any of a group pays for it. In a fleet short of room each step aside
+        makes room scarcer, until groups lie everywhere and nothing is served.
+        """
+        if not self.short(now):
+            return inf
+        return 2 + self.balancer.members.get(flow.spot, 0) // max(1.0, self.balancer.mean())
+
     def relieve(self, now: float, server: Server, late: bool) -> None:
         """Moves the smallest group there, whole, to where the ring now sends it.
 
@@ -312,8 +334,7 @@
         flows = list(server.groups[smallest])
         if len(flows) > self.balancer.mean() / 2 + 1:
             flows = flows[-1:] if late or now > server.slow_since + 3 * NEWS_PERIOD else []
-        slow = sum(now < s.slow_until or now < s.dropping_until for s in self.balancer.ready)
-        if 3 * slow > len(self.balancer.ready):
+        if self.short(now):
             return  # Danger: a fleet short of room only chases its groups from server to server.
         for flow in flows:
             self.balancer.host.move(flow)
@@ -399,6 +420,7 @@
         flow.target, least = None, HARMFUL
         stages = self.balancer.chain
         home = self.balancer.homes.get(flow.spot)
+        steps = self.balancer.strain.reach(now, flow)
         for server in chain([home] if home else [], self.round(flow.spot)):
             if any(stage.forbids(now, flow, server) for stage in stages):
                 continue
@@ -407,6 +429,9 @@
                 flow.target, least = server, against
                 if not against:
                     break
+            steps -= not server.trickle
+            if steps <= 0:
+                break
         if flow.target is None:
             # Danger: where all that may take it are dropping connections, one more drops another.
             self.balancer.give_up(flow)
@@ -512,7 +537,8 @@
         self.failures = 0  # calls for the list that failed in a row
         self.shortest_message = min(kind.message_target for kind in terms.service_types.values())
         self.ring = Ring(self)
-        self.homes: dict[int, Server] = {}
+        self.homes: dict[int, Server] = {}  # where displaced groups went, by their place on the ring
+        self.members: dict[int, int] = {}  # established flows of each group here
         self.strain = Strain(self)
         self.gate = Gate(self)
         self.chain: list[Stage] = [
@@ -572,6 +598,7 @@
 
     def settle(self, connect: Connect) -> None:
         connect.established = True
+        self.members[connect.flow.spot] = self.members.get(connect.flow.spot, 0) + 1
         if connect.server is not self.ring.owner(connect.flow.spot):
             self.homes[connect.flow.spot] = connect.server
         connect.server.groups.setdefault(connect.flow.spot, {})[connect.flow] = None
@@ -581,6 +608,9 @@
         groups = flow.connects[-1].server.groups
         if flow in groups.get(flow.spot, ()):
             del groups[flow.spot][flow]
+            self.members[flow.spot] -= 1
+            if not self.members[flow.spot]:
+                del self.members[flow.spot]
             if not groups[flow.spot]:
                 del groups[flow.spot]
                 if self.homes.get(flow.spot) is flow.connects[-1].server:
--- a/tests/test_stories.py
+++ b/tests/test_stories.py
@@ -263,3 +263,16 @@
     assert len(fake.asked("move")) == 1
     fake.proxy.message_time_told(fake.now, hot[0], 0, 0.2)
     assert len(fake.asked("move")) == 2
+
+
+def test_in_a_fleet_short_of_room_a_small_group_is_not_strewn_over_it(fake: Fake) -> None:
+    held = [fake.come(group=key, at=server) for key, server in enumerate(fake.proxy.ready)]
+    for flow in held[:2]:
+        fake.proxy.message_time_told(fake.now, flow, 0, 0.2)
+    fake.pass_time(1.0)
+    strained = {flow.connects[0].server for flow in held[:2]}
+    small = next(
+        flow for flow in (fake.come(group=g) for g in range(99, 999))
+        if set(list(fake.proxy.ring.round(flow.spot))[:2]) == strained
+    )
+    assert small.connects[0].server in strained
