--- a/brambleplank/decide.py
+++ b/brambleplank/decide.py
@@ -56,7 +56,7 @@
         self.groups: dict[int, dict[Flow, None]] = {}  # established here, by their place on the ring
         self.recent, self.recent_at = 0.0, 0.0  # this proxy's connects there, fading
         self.limit, self.limited_at = inf, 0.0
-        self.slow_since = self.slow_until = 0.0
+        self.slow_since = self.slow_until = self.late_until = 0.0
         self.dropping_until = 0.0
         self.cold_turn, self.cold_sent = -1.0, 0  # this proxy's latest turn while cold, its connects in it
 
@@ -287,6 +287,8 @@
             return 0
         if now < server.dropping_until or server.held >= self.limit(now, server):
             return HARMFUL
+        if now < server.late_until and self.short(now):
+            return HARMFUL
         return SLOW if now < server.slow_until else 0
 
     def slow(self, now: float, server: Server, seconds: float) -> None:
@@ -295,9 +297,10 @@
             if now > server.slow_until:
                 server.slow_since = now
             server.slow_until = now + 3 * NEWS_PERIOD
+            server.late_until = server.slow_until if seconds > self.balancer.shortest_message else now
             self.relieve(now, server, seconds > self.balancer.shortest_message)
         else:
-            server.slow_until = now
+            server.slow_until = server.late_until = now
 
     def limit(self, now: float, server: Server) -> float:
         """What it may hold: half of what it held when it began to drop, doubling in each warm-up since."""
@@ -334,7 +337,7 @@
         flows = list(server.groups[smallest])
         if len(flows) > self.balancer.mean() / 2 + 1:
             flows = flows[-1:] if late or now > server.slow_since + 3 * NEWS_PERIOD else []
-        if self.short(now):
+        if self.short(now) and not late:
             return  # Danger: a fleet short of room only chases its groups from server to server.
         for flow in flows:
             self.balancer.host.move(flow)
--- a/tests/test_stories.py
+++ b/tests/test_stories.py
@@ -268,7 +268,7 @@
 def test_in_a_fleet_short_of_room_a_small_group_is_not_strewn_over_it(fake: Fake) -> None:
     held = [fake.come(group=key, at=server) for key, server in enumerate(fake.proxy.ready)]
     for flow in held[:2]:
-        fake.proxy.message_time_told(fake.now, flow, 0, 0.2)
+        fake.proxy.message_time_told(fake.now, flow, 0, 0.05)
     fake.pass_time(1.0)
     strained = {flow.connects[0].server for flow in held[:2]}
     small = next(
@@ -276,3 +276,14 @@
         if set(list(fake.proxy.ring.round(place_on_ring(f"group {group}")))[:2]) == strained
     )
     assert fake.come(group=small).connects[0].server in strained
+
+
+def test_in_a_short_fleet_a_server_that_misses_its_target_is_given_no_more(fake: Fake) -> None:
+    held = [fake.come(group=key, at=server) for key, server in enumerate(fake.proxy.ready)]
+    for flow in held:
+        fake.proxy.message_time_told(fake.now, flow, 0, 0.2)
+    fake.pass_time(1.0)
+    assert not fake.come().connects and fake.asked("reject")
+    for flow in held:
+        fake.proxy.message_time_told(fake.now, flow, 0, 0.05)
+    assert fake.come(returned=True).connects
