--- a/brambleplank/decide.py
+++ b/brambleplank/decide.py
@@ -504,8 +504,8 @@
 
     def wait(self, now: float, flow: Flow) -> float:
         left = flow.give_up_at - self.balancer.margin - now
-        if len(flow.connects) >= self.terms.max_connects:
-            return left
+        if len(flow.connects) >= self.terms.max_connects or self.balancer.gate.shut:
+            return left  # Danger: what is shared is late; to give up early is to ask it twice
         patience = max(flow.service_type.setup_target, 4 * self.balancer.gap)
         return min(patience, left / 2)
 
