--- a/brambleplank/decide.py
+++ b/brambleplank/decide.py
@@ -54,9 +54,8 @@
         self.pause = 0.0
         self.retry_at = 0.0
         self.groups: dict[int, dict[Flow, None]] = {}  # established here, by their place on the ring
-        self.recent, self.recent_at = 0.0, 0.0  # this proxy's connects there, fading
-        self.limit, self.limited_at = inf, 0.0
-        self.slow_since = self.slow_until = self.late_until = 0.0
+        self.recent, self.recent_at = 0.0, 0.0  # connects there, fading, and when last counted
+        self.slow_until = self.late_until = 0.0
         self.dropping_until = 0.0
         self.cold_turn, self.cold_sent = -1.0, 0  # this proxy's latest turn while cold, its connects in it
 
@@ -285,7 +284,7 @@
     def avoids(self, now: float, flow: Flow, server: Server) -> int:
         if flow.midflow:
             return 0
-        if now < server.dropping_until or server.held >= self.limit(now, server):
+        if now < server.dropping_until:
             return HARMFUL
         if now < server.late_until and self.short(now):
             return HARMFUL
@@ -294,19 +293,12 @@
     def slow(self, now: float, server: Server, seconds: float) -> None:
         """A message's time there; told about once a second while it is long."""
         if seconds > self.balancer.shortest_message / 3:
-            if now > server.slow_until:
-                server.slow_since = now
             server.slow_until = now + 3 * NEWS_PERIOD
             server.late_until = server.slow_until if seconds > self.balancer.shortest_message else now
             self.relieve(now, server, seconds > self.balancer.shortest_message)
         else:
             server.slow_until = server.late_until = now
 
-    def limit(self, now: float, server: Server) -> float:
-        """What it may hold: half of what it held when it began to drop, doubling in each warm-up since."""
-        warmups = min(64.0, (now - server.limited_at) / self.terms.ramp_time)
-        return max(1.0, server.limit * 2**warmups)
-
     def short(self, now: float) -> bool:
         """Whether over a third of the fleet shows strain; looked at anew once a telling."""
         if now >= self.looked + NEWS_PERIOD / 2:
@@ -336,7 +328,7 @@
         smallest = min(server.groups, key=lambda spot: (len(server.groups[spot]), spot))
         flows = list(server.groups[smallest])
         if len(flows) > self.balancer.mean() / 2 + 1:
-            flows = flows[-1:] if late or now > server.slow_since + 3 * NEWS_PERIOD else []
+            flows = flows[-1:] if late else []
         if self.short(now) and not late:
             return  # Danger: a fleet short of room only chases its groups from server to server.
         for flow in flows:
@@ -348,7 +340,6 @@
         if connect.established and end is End.RESET:
             if now >= connect.server.dropping_until:
                 self.balancer.host.log(f"{connect.server.id} drops connections")
-                connect.server.limit, connect.server.limited_at = (connect.server.held + 1) / 2, now
             connect.server.dropping_until = now + self.terms.fall_time
 
 
@@ -361,31 +352,22 @@
 
 
 class Pace(Stage):
-    """Bounds what a server is sent at once as the skip bounds what it holds.
+    """Refills a server whose strain has ended by a trickle that doubles.
 
-    Danger: once most servers are passed over, the last one fit for it is sent everything by every proxy, and
-    drops it all within a second.
+    Danger: every proxy sees it fit in the same second and sends it all who wait; it drops them soon after.
     """
 
-    def __init__(self, balancer: Balancer) -> None:
-        super().__init__(balancer)
-        self.recent, self.at = 0.0, 0.0  # connects made, fading over the time a server takes to fall
-
-    def faded(self, now: float, recent: float, at: float) -> float:
-        return recent * exp((at - now) / self.terms.fall_time)
+    def recent(self, now: float, server: Server) -> float:
+        """Connects there, fading over the time in which a server is pushed over."""
+        return server.recent * exp((server.recent_at - now) / self.terms.fall_time)
 
     def avoids(self, now: float, flow: Flow, server: Server) -> int:
-        mean = self.faded(now, self.recent, self.at) / max(1, len(self.balancer.ready))
-        sent = self.faded(now, server.recent, server.recent_at)
         calm = min(64.0, (now - max(server.slow_until, server.dropping_until)) / (2 * NEWS_PERIOD))
-        allowed = min(BOUND_FACTOR * mean + BOUND_SPARE, 2**calm)
-        return HARMFUL if sent >= allowed and not flow.midflow else 0
+        return HARMFUL if self.recent(now, server) >= 2**calm and not flow.midflow else 0
 
     def onward(self, now: float, flow: Flow) -> bool:
-        server = flow.target
-        if server:
-            self.recent, self.at = self.faded(now, self.recent, self.at) + 1, now
-            server.recent, server.recent_at = self.faded(now, server.recent, server.recent_at) + 1, now
+        if server := flow.target:
+            server.recent, server.recent_at = self.recent(now, server) + 1, now
         return True
 
 
@@ -504,8 +486,8 @@
 
     def wait(self, now: float, flow: Flow) -> float:
         left = flow.give_up_at - self.balancer.margin - now
-        if len(flow.connects) >= self.terms.max_connects or self.balancer.gate.shut:
-            return left  # Danger: what is shared is late; to give up early is to ask it twice
+        if len(flow.connects) >= self.terms.max_connects:
+            return left
         patience = max(flow.service_type.setup_target, 4 * self.balancer.gap)
         return min(patience, left / 2)
 
