Call a fleet short of room only when more than two servers are strained

Cause: a fifth of a fleet of eight is two servers; a burst of two seconds was answered with rejects and moves.

--- a/brambleplank/decide.py
+++ b/brambleplank/decide.py
@@ -298,11 +298,11 @@
             server.slow_until = server.late_until = now
 
     def short(self, now: float) -> bool:
-        """Whether over a fifth of the fleet shows strain; looked at anew once a telling."""
+        """Whether over a fifth of the fleet, and over two servers, show strain; looked at twice a telling."""
         if now >= self.looked + NEWS_PERIOD / 2:
             ready = self.balancer.ready
             strained = sum(now < s.slow_until or now < s.dropping_until for s in ready)
-            self.is_short, self.looked = 5 * strained > len(ready), now
+            self.is_short, self.looked = strained > max(2, len(ready) / 5), now
         return self.is_short
 
     def reach(self, now: float, flow: Flow) -> float:
