--- a/brambleplank/decide.py
+++ b/brambleplank/decide.py
@@ -4,10 +4,11 @@
 balancer answers through the `Host` it was given. Both sides of that interface are in `brambleplank/host.py`.
 
 A flow runs down a chain of small stages: `Promise` (one final answer in time), `Ring` (whom it belongs to,
-and who is passed over on evidence), `Launch` (the connect and how long to wait). `Drain`, `Effects`, `Cold`,
-`Health` and `Bound` between them have a say about single servers: a stage `forbids` a server where a rule is
-at stake, and `avoids` one on evidence, which gives way when every server is avoided. What comes back runs up
-the chain. The ring is that of the DTS paper, see `docs/design.md`.
+and who is passed over), `Gate` (how many connects may be out), `Launch` (the connect and how long to wait).
+The stages between have a say about single servers: one `forbids` a server where a rule is at stake, or
+`avoids` it on evidence, by degrees; the ring takes the first with nothing against it, else the least avoided,
+and rejects where only harm is left. What comes back runs up the chain. The ring is that of the DTS paper, see
+`docs/design.md`, which also says when each exception acts.
 """
 
 from __future__ import annotations
@@ -302,7 +303,10 @@
         if now >= self.looked + NEWS_PERIOD / 2:
             ready = self.balancer.ready
             strained = sum(now < s.slow_until or now < s.dropping_until for s in ready)
-            self.is_short, self.looked = strained > max(2, len(ready) / 5), now
+            short, self.looked = strained > max(2, len(ready) / 5), now
+            if short is not self.is_short:
+                self.balancer.host.log("fleet short of room" if short else "fleet has room again")
+            self.is_short = short
         return self.is_short
 
     def reach(self, now: float, flow: Flow) -> float:
