--- a/brambleplank/decide.py
+++ b/brambleplank/decide.py
@@ -29,6 +29,7 @@
 TOO_UNUSUAL = 3.0  # a silence that one gap in a thousand outlasts
 LEARNING = 1 / 8  # weight of the newest gap, as TCP's round-trip estimate has it
 NEWS_PERIOD = 1.0  # seconds between two tellings of a server's message time, as hosts give them
+MOST, HALF_OPEN = 1 / 2, 1 / 4  # shares of failed connects: the gate narrows; where it then starts anew
 TRICKLE_FULL = 8  # connects in a row that went well, doubling from one, before a server is trusted again
 
 
@@ -461,11 +462,11 @@
         if end not in (End.ERROR, End.TIMEOUT, End.CANCELLED):
             return
         self.failing += LEARNING * (1 - self.failing)
-        if self.failing > 0.5:
+        if self.failing > MOST:
             if self.window == inf:
                 self.balancer.host.log("gate narrows: most connects fail, whichever server they go to")
             self.window = max(1, min(self.window, self.out) / 2)
-            self.failing = 0.25
+            self.failing = HALF_OPEN
 
     @property
     def shut(self) -> bool:
@@ -473,7 +474,7 @@
 
 
 class Launch(Stage):
-    """Makes the connect, with a wait that leaves room for another."""
+    """Makes the connect, with a wait that leaves room for another inside the setup target."""
 
     def onward(self, now: float, flow: Flow) -> bool:
         server = flow.target
@@ -490,8 +491,9 @@
         left = flow.give_up_at - self.balancer.margin - now
         if len(flow.connects) >= self.terms.max_connects:
             return left
-        patience = max(flow.service_type.setup_target, 4 * self.balancer.gap)
-        return min(patience, left / 2)
+        if self.balancer.gate.failing > HALF_OPEN:
+            return left / 2  # Danger: what is shared is late; an early time-out asks it twice.
+        return min(max(flow.service_type.setup_target / 2, 4 * self.balancer.gap), left / 2)
 
     def stands(self, now: float, connect: Connect, delay: float) -> None:
         connect.server.waiting.pop(connect, None)
--- a/tests/test_stories.py
+++ b/tests/test_stories.py
@@ -291,3 +291,12 @@
 def test_servers_gone_for_good_are_forgotten(fake: Fake) -> None:
     fake.told({"10.0.0.1:80": Condition.READY}, whole=True)
     assert list(fake.proxy.servers) == ["10.0.0.1:80"]
+
+
+def test_a_first_wait_leaves_room_inside_the_setup_target_unless_most_connects_fail(fake: Fake) -> None:
+    fake.come()
+    assert fake.asked("connect")[-1][2] == pytest.approx(FEED.setup_target / 2)
+    for key in range(3):
+        fake.end(fake.come(key), End.TIMEOUT, 0.15)
+    fake.come(wait=4.0)
+    assert fake.asked("connect")[-1][2] == pytest.approx(2.0, abs=0.1)
