--- a/brambleplank/decide.py
+++ b/brambleplank/decide.py
@@ -187,24 +187,27 @@
     """
 
     def forbids(self, now: float, flow: Flow, server: Server) -> bool:
-        age = now - server.started
-        if server.started <= 0 or age >= self.terms.ramp_time:
+        if not self.cold(now, server):
             return False
+        age = now - server.started
         turn, part = divmod(age / self.terms.fall_time, 2)
         if turn % self.terms.proxies != self.terms.number or part >= 1:
             return True
         sent = server.cold_sent if server.cold_turn == turn else 0
         return sent + 0.5 > self.budget(now, age)
 
+    def cold(self, now: float, server: Server) -> bool:
+        return server.started > 0 and now < server.started + self.terms.ramp_time
+
     def budget(self, now: float, age: float) -> float:
         """Connects in one turn that a server no abler than the mean stands."""
         able = self.terms.cold_from + (1 - self.terms.cold_from) * age / self.terms.ramp_time
-        usual = self.balancer.served_rate(now) * self.terms.proxies / max(1, len(self.balancer.ready))
+        usual = self.balancer.served_rate(now) * self.terms.proxies / max(1, len(self.balancer.able))
         return self.terms.overload_factor * able * usual * self.terms.fall_time
 
     def onward(self, now: float, flow: Flow) -> bool:
         server = flow.target
-        if server and server.started > 0 and now < server.started + self.terms.ramp_time:
+        if server and self.cold(now, server):
             turn = (now - server.started) / self.terms.fall_time // 2
             server.cold_sent = server.cold_sent + 1 if server.cold_turn == turn else 1
             server.cold_turn = turn
@@ -302,9 +305,10 @@
     def short(self, now: float) -> bool:
         """Whether over a fifth of the fleet, and over two servers, show strain; looked at twice a telling."""
         if now >= self.looked + NEWS_PERIOD / 2:
-            ready = self.balancer.ready
-            strained = sum(now < s.slow_until or now < s.dropping_until for s in ready)
-            short, self.looked = strained > max(2, len(ready) / 5), now
+            self.balancer.look(now)
+            able = self.balancer.able
+            strained = sum(now < s.slow_until or now < s.dropping_until for s in able)
+            short, self.looked = strained > max(2, len(able) / 5), now
             if short is not self.is_short:
                 self.balancer.host.log("fleet short of room" if short else "fleet has room again")
             self.is_short = short
@@ -518,6 +522,7 @@
         self.rng = Random(seed)
         self.servers: dict[str, Server] = {}
         self.ready: list[Server] = []
+        self.able: list[Server] = []  # those of them that are warm
         self.held = 0  # connections on ready servers
         self.gap = 0.0  # usual time to an answer, over the fleet
         self.margin = 2 * terms.tick
@@ -531,8 +536,9 @@
         self.members: dict[int, int] = {}  # established flows of each group here
         self.strain = Strain(self)
         self.gate = Gate(self)
+        self.cold = Cold(self)
         self.chain: list[Stage] = [
-            Promise(self), self.ring, Drain(self), Effects(self), Cold(self), Health(self), self.strain,
+            Promise(self), self.ring, Drain(self), Effects(self), self.cold, Health(self), self.strain,
             Bound(self), Pace(self), self.gate, Launch(self),
         ]
 
@@ -557,7 +563,11 @@
         return flow
 
     def mean(self) -> float:
-        return self.held / max(1, len(self.ready))
+        return self.held / max(1, len(self.able))
+
+    def look(self, now: float) -> None:
+        """Danger: servers that have just joined look like room, and the others too full beside them."""
+        self.able = [s for s in self.ready if not self.cold.cold(now, s)] or self.ready
 
     def served_rate(self, now: float) -> float:
         """Connections a second that ended well lately: what the servers carry, whatever storms arrive."""
@@ -662,6 +672,7 @@
                 self.restarted(now, server, started)
         self.servers = {s.id: s for s in self.servers.values() if s.held or s.condition is not Condition.GONE}
         self.ready = [s for s in self.servers.values() if s.condition is Condition.READY]
+        self.look(now)
         self.held = sum(s.held for s in self.ready)
         self.ring.build([s for s in self.servers.values() if s.condition is not Condition.GONE])
 
--- a/tests/test_stories.py
+++ b/tests/test_stories.py
@@ -300,3 +300,13 @@
         fake.end(fake.come(key), End.TIMEOUT, 0.15)
     fake.come(wait=4.0)
     assert fake.asked("connect")[-1][2] == pytest.approx(2.0, abs=0.1)
+
+
+def test_cold_servers_that_join_do_not_count_as_room(fake: Fake) -> None:
+    held = [fake.come(group=key, at=server) for key, server in enumerate(fake.proxy.ready)]
+    fake.told({f"10.1.0.{i}:80": Condition.READY for i in range(20)}, started=fake.now)
+    assert fake.proxy.mean() == 1.0
+    for flow in held:
+        fake.proxy.message_time_told(fake.now, flow, 0, 0.05)
+    fake.pass_time(1.0)
+    assert fake.proxy.strain.short(fake.now)
