--- a/brambleplank/decide.py
+++ b/brambleplank/decide.py
@@ -302,10 +302,6 @@
         else:
             server.slow_until = server.late_until = now
 
-    def stands(self, now: float, connect: Connect, delay: float) -> None:
-        if delay > max(4 * self.balancer.gap, self.balancer.floor):
-            connect.server.slow_until = max(connect.server.slow_until, now + 3 * NEWS_PERIOD)
-
     def short(self, now: float) -> bool:
         """Whether over a fifth of the fleet, and over two servers, show strain; looked at twice a telling."""
         if now >= self.looked + NEWS_PERIOD / 2:
--- a/brambleplank/wirehost/door.py
+++ b/brambleplank/wirehost/door.py
@@ -7,13 +7,14 @@
 
 from brambleplank.decide import Balancer, Flow, Server
 from brambleplank.host import Condition, End
-from brambleplank.wirehost.terms import MICRO, terms_of
+from brambleplank.wirehost.terms import MICRO, known, terms_of
 
 ENDS = {
     0: End.OK, 5: End.ERROR, 11: End.FULL, 110: End.TIMEOUT, 111: End.UNREACHABLE, 104: End.RESET,
     125: End.CANCELLED, 114: End.MOOT,
 }
 CONDITIONS = {"IN": Condition.READY, "LAME": Condition.DRAINING, "OUT": Condition.GONE}
+WHOLE = {"INCREMENTAL": False, "FULL": True, "SAVED": True}
 MIDFLOW, RETURNED = 8, 16
 LOAD, MESSAGE_TIME = 1, 2
 
@@ -54,7 +55,7 @@
     ) -> None:
         if flow := self.flows.get(flow_id):
             self.balancer.connect_ended(
-                now, flow, trial, ENDS[reason], (delay or 0) * MICRO, complete, gauge
+                now, flow, trial, known(ENDS, reason, "reason"), (delay or 0) * MICRO, complete, gauge
             )
             self.keep(flow_id, flow)
 
@@ -77,7 +78,8 @@
         self, now: float, server: str, reason: int, delay: int, gauge: list[float] | None
     ) -> None:
         if record := self.balancer.servers.get(server):
-            self.balancer.probe_ended(now, record, ENDS[reason], (delay or 0) * MICRO, gauge)
+            end = known(ENDS, reason, "reason")
+            self.balancer.probe_ended(now, record, end, (delay or 0) * MICRO, gauge)
 
     def peer(self, now: float, origin: int, octets: str) -> None:
         self.balancer.peer_told(now, origin, octets)
@@ -89,10 +91,13 @@
         self.balancer.list_told(
             now,
             [
-                (e[0], e[1], e[3], CONDITIONS[e[4]], float(e[5] or 1), (e[6] or 0) * MICRO)
+                (
+                    e[0], e[1], e[3], known(CONDITIONS, e[4], "condition"), float(e[5] or 1),
+                    (e[6] or 0) * MICRO,
+                )
                 for e in entries
             ],
-            how != "INCREMENTAL",
+            known(WHOLE, how, "kind of list"),
         )
 
     def keep(self, flow_id: str, flow: Flow) -> None:
--- a/brambleplank/wirehost/pipe.py
+++ b/brambleplank/wirehost/pipe.py
@@ -8,7 +8,7 @@
 from typing import Any, TextIO
 
 from brambleplank.wirehost.door import Door
-from brambleplank.wirehost.terms import MICRO
+from brambleplank.wirehost.terms import MICRO, MalformedError
 
 # Each event's call and how many fields follow the instance's name.
 CALLS: dict[str, tuple[Callable[..., None], int]] = {
@@ -24,10 +24,6 @@
 }
 
 
-class MalformedError(Exception):
-    """What was read is not of this wire."""
-
-
 class Pipe:
     """The instances of one process, and the numbered lists that they share."""
 
@@ -96,6 +92,8 @@
         """An exception of the module ends the day and says why; it is never swallowed."""
         try:
             call(door, *fields)
+        except MalformedError:
+            raise
         except Exception:
             self.out.append(["INTERNAL_ERROR", door.name, traceback.format_exc(limit=-4)])
 
--- a/brambleplank/wirehost/terms.py
+++ b/brambleplank/wirehost/terms.py
@@ -10,6 +10,17 @@
 MICRO = 1e-6
 
 
+class MalformedError(Exception):
+    """What was read is not of this wire."""
+
+
+def known(words: dict[Any, Any], word: Any, what: str) -> Any:
+    """The meaning of one of the wire's words."""
+    if word not in words:
+        raise MalformedError(f"unknown {what} {word!r:.40}")
+    return words[word]
+
+
 def terms_of(info: dict[str, Any]) -> Terms:
     """Decode once what the module reads; keys it does not know are left alone."""
     limits, rules, facts = info["policy_limits"], info["rules"], info.get("specifics", {})
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -62,6 +62,8 @@
         ('{"t_us":1,"news":[["LAPSED","proxy/9","aa"]]}', "proxy/9"),
         ('{"t_us":1,"news":[["LAPSED","proxy/0"]]}', "LAPSED"),
         ('{"t_us":1,"news":[["ENLIST","proxy/0",1,{}]]}', "policy_limits"),
+        ('{"t_us":1,"news":[["PROBE_RESULT","proxy/0","10.0.0.1:80",999,5,null]]}', "999"),
+        ('{"t_us":1,"news":[["ROSTER_CHANGE","proxy/0","HALF",2,0]]}', "HALF"),
     ],
 )
 def test_malformed_input_is_named_on_stderr_and_ends_the_process(line: str, named: str) -> None:
