Scale relief by what a proxy holds; a returned flow passes unknown servers by a coin

Cause: hundreds of proxies with one connection each on a slow server all moved it in one second, and its clients came back through proxies that had not been told and went to the same owner again.

--- a/brambleplank/decide.py
+++ b/brambleplank/decide.py
@@ -30,6 +30,7 @@
 LEARNING = 1 / 8  # weight of the newest gap, as TCP's round-trip estimate has it
 NEWS_PERIOD = 1.0  # seconds between two tellings of a server's message time, as hosts give them
 MOST, HALF_OPEN = 1 / 2, 1 / 4  # shares of failed connects: the gate narrows; where it then starts anew
+RELIEF = 1 / 8  # share of its own on a slow server that a proxy moves a telling, on average
 TRICKLE_FULL = 8  # connects in a row that went well, doubling from one, before a server is trusted again
 
 
@@ -77,13 +78,15 @@
     """A client's connection, from its arrival to its end."""
 
     def __init__(
-        self, handle: object, service_type: ServiceType, spot: int, give_up_at: float, midflow: bool
+        self, handle: object, service_type: ServiceType, spot: int, give_up_at: float, midflow: bool,
+        returned: bool,
     ) -> None:
         self.handle = handle
         self.service_type = service_type
         self.spot = spot
         self.give_up_at = give_up_at
         self.midflow = midflow
+        self.returned = returned
         self.connects: list[Connect] = []
         self.target: Server | None = None
         self.answered = False  # nothing more is owed to the client
@@ -288,7 +291,9 @@
             return HARMFUL
         if now < server.late_until and self.short(now):
             return HARMFUL
-        return SLOW if now < server.slow_until else 0
+        # Danger: another proxy broke or moved it for a reason that this one, with nothing there, is not told.
+        unknown = flow.returned and not server.held and self.balancer.rng.random() < 1 / 2
+        return SLOW if unknown or now < server.slow_until else 0
 
     def slow(self, now: float, server: Server, seconds: float) -> None:
         """A message's time there; told about once a second while it is long."""
@@ -335,6 +340,8 @@
             flows = flows[-1:] if late else []
         if self.short(now) and not late:
             return  # Danger: a fleet short of room only chases its groups from server to server.
+        if self.balancer.rng.random() * len(flows) > RELIEF * server.held:
+            return  # Danger: hundreds of proxies with a connection each there empty it in one second.
         for flow in flows:
             self.balancer.host.move(flow)
             self.balancer.leave(flow)
@@ -556,7 +563,7 @@
         elif key is not None:
             spot = place_on_ring(b"key %d" % key)
         kind = self.terms.service_types[service_type]
-        flow = Flow(handle, kind, spot, give_up_at, midflow)
+        flow = Flow(handle, kind, spot, give_up_at, midflow, returned)
         if server is not None:
             connect = Connect(flow, server, now)
             flow.connects.append(connect)
