--- a/brambleplank/decide.py
+++ b/brambleplank/decide.py
@@ -30,7 +30,7 @@
 LEARNING = 1 / 8  # weight of the newest gap, as TCP's round-trip estimate has it
 NEWS_PERIOD = 1.0  # seconds between two tellings of a server's message time, as hosts give them
 MOST, HALF_OPEN = 1 / 2, 1 / 4  # shares of failed connects: the gate narrows; where it then starts anew
-RELIEF = 1 / 8  # share of its own on a slow server that a proxy moves a telling, on average
+RELIEF = 1 / 3  # share of its own on a slow server that a proxy moves a telling, on average
 TRICKLE_FULL = 8  # connects in a row that went well, doubling from one, before a server is trusted again
 
 
