--- a/brambleplank/decide.py
+++ b/brambleplank/decide.py
@@ -505,8 +505,8 @@
         if len(flow.connects) >= self.terms.max_connects:
             return left
         if self.balancer.gate.failing > HALF_OPEN:
-            return left / 2  # Danger: what is shared is late; an early time-out asks it twice.
-        return min(max(flow.service_type.setup_target / 2, 4 * self.balancer.gap), left / 2)
+            return left  # Danger: what is shared is late; an early time-out asks it twice.
+        return min(max(flow.service_type.setup_target, 4 * self.balancer.gap), left / 2)
 
     def stands(self, now: float, connect: Connect, delay: float) -> None:
         connect.server.waiting.pop(connect, None)
