--- a/brambleplank/decide.py
+++ b/brambleplank/decide.py
@@ -291,8 +291,10 @@
             return HARMFUL
         if now < server.late_until and self.short(now):
             return HARMFUL
-        # Danger: another proxy broke or moved it for a reason that this one, with nothing there, is not told.
-        unknown = flow.returned and not server.held and self.balancer.rng.random() < 1 / 2
+        # Danger: another proxy broke or moved it for a reason that this one, with nothing there, is not told;
+        # of few proxies it is as likely that one of them died.
+        others = 1 / 2 - 1 / self.terms.proxies
+        unknown = flow.returned and not server.held and self.balancer.rng.random() < others
         return SLOW if unknown or now < server.slow_until else 0
 
     def slow(self, now: float, server: Server, seconds: float) -> None:
