--- a/brambleplank/decide.py
+++ b/brambleplank/decide.py
@@ -310,7 +310,7 @@
         """Whether over a fifth of the fleet, and over two servers, show strain; looked at twice a telling."""
         if now >= self.looked + NEWS_PERIOD / 2:
             self.balancer.look(now)
-            able = self.balancer.able
+            able = [s for s in self.balancer.able if s.held or now < s.dropping_until]
             strained = sum(now < s.slow_until or now < s.dropping_until for s in able)
             short, self.looked = strained > max(2, len(able) / 5), now
             if short is not self.is_short:
