Keep evidence of strain longer where proxies outnumber servers

Cause: each of hundreds of proxies forgot a dropping or slow server before it had its next flow for it.

--- a/brambleplank/decide.py
+++ b/brambleplank/decide.py
@@ -300,7 +300,7 @@
     def slow(self, now: float, server: Server, seconds: float) -> None:
         """A message's time there; told about once a second while it is long."""
         if seconds > self.balancer.shortest_message / 3:
-            server.slow_until = now + 3 * NEWS_PERIOD
+            server.slow_until = now + 3 * NEWS_PERIOD * self.balancer.sparse()
             server.late_until = server.slow_until if seconds > self.balancer.shortest_message else now
             self.relieve(now, server, seconds > self.balancer.shortest_message)
         else:
@@ -353,7 +353,7 @@
         if connect.established and end is End.RESET:
             if now >= connect.server.dropping_until:
                 self.balancer.host.log(f"{connect.server.id} drops connections")
-            connect.server.dropping_until = now + self.terms.fall_time
+            connect.server.dropping_until = now + self.terms.fall_time * self.balancer.sparse()
 
 
 class Pace(Stage):
@@ -578,6 +578,10 @@
     def mean(self) -> float:
         return self.held / max(1, len(self.able))
 
+    def sparse(self) -> float:
+        """How much longer than alone this proxy is without news of a server, for so many send to it."""
+        return max(1.0, self.terms.proxies / max(1, len(self.able)))
+
     def look(self, now: float) -> None:
         """Danger: servers that have just joined look like room, and the others too full beside them."""
         self.able = [s for s in self.ready if not self.cold.cold(now, s)] or self.ready
