--- a/brambleplank/decide.py
+++ b/brambleplank/decide.py
@@ -16,7 +16,6 @@
 from bisect import bisect_right
 from collections.abc import Callable, Iterator
 from hashlib import md5
-from itertools import chain
 from math import exp, inf
 from random import Random
 
@@ -422,9 +421,8 @@
 
     def onward(self, now: float, flow: Flow) -> bool:
         flow.target, least = None, HARMFUL
-        home = self.balancer.homes.get(flow.spot)
         steps = self.balancer.strain.reach(now, flow)
-        for server in chain([home] if home else [], self.round(flow.spot)):
+        for server in self.round(flow.spot):
             if any(forbids(now, flow, server) for forbids in self.forbid):
                 continue
             against = max(avoids(now, flow, server) for avoids in self.avoid)
@@ -543,7 +541,6 @@
         self.failures = 0  # calls for the list that failed in a row
         self.shortest_message = min(kind.message_target for kind in terms.service_types.values())
         self.ring = Ring(self)
-        self.homes: dict[int, Server] = {}  # where displaced groups went, by their place on the ring
         self.members: dict[int, int] = {}  # established flows of each group here
         self.strain = Strain(self)
         self.gate = Gate(self)
@@ -616,8 +613,6 @@
     def settle(self, connect: Connect) -> None:
         connect.established = True
         self.members[connect.flow.spot] = self.members.get(connect.flow.spot, 0) + 1
-        if connect.server is not self.ring.owner(connect.flow.spot):
-            self.homes[connect.flow.spot] = connect.server
         connect.server.groups.setdefault(connect.flow.spot, {})[connect.flow] = None
 
     def leave(self, flow: Flow) -> None:
@@ -630,8 +625,6 @@
                 del self.members[flow.spot]
             if not groups[flow.spot]:
                 del groups[flow.spot]
-                if self.homes.get(flow.spot) is flow.connects[-1].server:
-                    del self.homes[flow.spot]
 
     def established(self, now: float, flow: Flow, number: int, delay: float) -> None:
         flow.answered = True
