--- a/brambleplank/decide.py
+++ b/brambleplank/decide.py
@@ -16,6 +16,7 @@
 from bisect import bisect_right
 from collections.abc import Callable, Iterator
 from hashlib import md5
+from itertools import chain
 from math import exp, inf
 from random import Random
 
@@ -355,26 +356,6 @@
             connect.server.dropping_until = now + self.terms.fall_time * self.balancer.sparse()
 
 
-class Pace(Stage):
-    """Refills a server whose strain has ended by a trickle that doubles.
-
-    Danger: every proxy sees it fit in the same second and sends it all who wait; it drops them soon after.
-    """
-
-    def recent(self, now: float, server: Server) -> float:
-        """Connects there, fading over the time in which a server is pushed over."""
-        return server.recent * exp((server.recent_at - now) / self.terms.fall_time)
-
-    def avoids(self, now: float, flow: Flow, server: Server) -> int:
-        calm = min(64.0, (now - max(server.slow_until, server.dropping_until)) / (2 * NEWS_PERIOD))
-        return HARMFUL if self.recent(now, server) >= 2**calm and not flow.midflow else 0
-
-    def onward(self, now: float, flow: Flow) -> bool:
-        if server := flow.target:
-            server.recent, server.recent_at = self.recent(now, server) + 1, now
-        return True
-
-
 class Ring(Stage):
     """The owner of the flow's arc, or the next distinct server that no stage speaks against."""
 
@@ -421,8 +402,9 @@
 
     def onward(self, now: float, flow: Flow) -> bool:
         flow.target, least = None, HARMFUL
+        home = self.balancer.homes.get(flow.spot)
         steps = self.balancer.strain.reach(now, flow)
-        for server in self.round(flow.spot):
+        for server in chain([home] if home else [], self.round(flow.spot)):
             if any(forbids(now, flow, server) for forbids in self.forbid):
                 continue
             against = max(avoids(now, flow, server) for avoids in self.avoid)
@@ -541,13 +523,14 @@
         self.failures = 0  # calls for the list that failed in a row
         self.shortest_message = min(kind.message_target for kind in terms.service_types.values())
         self.ring = Ring(self)
+        self.homes: dict[int, Server] = {}  # where displaced groups went, by their place on the ring
         self.members: dict[int, int] = {}  # established flows of each group here
         self.strain = Strain(self)
         self.gate = Gate(self)
         self.cold = Cold(self)
         self.chain: list[Stage] = [
             Promise(self), self.ring, Drain(self), Effects(self), self.cold, Health(self), self.strain,
-            Pace(self), self.gate, Launch(self),
+            self.gate, Launch(self),
         ]
         self.ring.forbid = [s.forbids for s in self.chain if type(s).forbids is not Stage.forbids]
         self.ring.avoid = [s.avoids for s in self.chain if type(s).avoids is not Stage.avoids]
@@ -613,6 +596,8 @@
     def settle(self, connect: Connect) -> None:
         connect.established = True
         self.members[connect.flow.spot] = self.members.get(connect.flow.spot, 0) + 1
+        if connect.server is not self.ring.owner(connect.flow.spot):
+            self.homes[connect.flow.spot] = connect.server
         connect.server.groups.setdefault(connect.flow.spot, {})[connect.flow] = None
 
     def leave(self, flow: Flow) -> None:
@@ -625,6 +610,8 @@
                 del self.members[flow.spot]
             if not groups[flow.spot]:
                 del groups[flow.spot]
+                if self.homes.get(flow.spot) is flow.connects[-1].server:
+                    del self.homes[flow.spot]
 
     def established(self, now: float, flow: Flow, number: int, delay: float) -> None:
         flow.answered = True
