--- a/brambleplank/decide.py
+++ b/brambleplank/decide.py
@@ -356,6 +356,26 @@
             connect.server.dropping_until = now + self.terms.fall_time * self.balancer.sparse()
 
 
+class Pace(Stage):
+    """Refills a server whose strain has ended by a trickle that doubles.
+
+    Danger: every proxy sees it fit in the same second and sends it all who wait; it drops them soon after.
+    """
+
+    def recent(self, now: float, server: Server) -> float:
+        """Connects there, fading over the time in which a server is pushed over."""
+        return server.recent * exp((server.recent_at - now) / self.terms.fall_time)
+
+    def avoids(self, now: float, flow: Flow, server: Server) -> int:
+        calm = min(64.0, (now - max(server.slow_until, server.dropping_until)) / (2 * NEWS_PERIOD))
+        return HARMFUL if self.recent(now, server) >= 2**calm and not flow.midflow else 0
+
+    def onward(self, now: float, flow: Flow) -> bool:
+        if server := flow.target:
+            server.recent, server.recent_at = self.recent(now, server) + 1, now
+        return True
+
+
 class Ring(Stage):
     """The owner of the flow's arc, or the next distinct server that no stage speaks against."""
 
@@ -530,7 +550,7 @@
         self.cold = Cold(self)
         self.chain: list[Stage] = [
             Promise(self), self.ring, Drain(self), Effects(self), self.cold, Health(self), self.strain,
-            self.gate, Launch(self),
+            Pace(self), self.gate, Launch(self),
         ]
         self.ring.forbid = [s.forbids for s in self.chain if type(s).forbids is not Stage.forbids]
         self.ring.avoid = [s.avoids for s in self.chain if type(s).avoids is not Stage.avoids]
