Let the gate narrow below one connect and open at any fleet size

Cause: a floor of one connect a proxy is dozens in a late store, and twice the servers in a row is never reached by a proxy of a large fleet.

--- a/brambleplank/decide.py
+++ b/brambleplank/decide.py
@@ -456,7 +456,7 @@
         self.window = inf  # connects that may be out; without bound in good times
 
     def onward(self, now: float, flow: Flow) -> bool:
-        if self.out >= self.window and (flow.connects or not flow.midflow):
+        if self.out + self.balancer.rng.random() >= self.window and (flow.connects or not flow.midflow):
             self.balancer.give_up(flow)
             return False
         self.out += 1
@@ -465,8 +465,8 @@
     def stands(self, now: float, connect: Connect, delay: float) -> None:
         self.out -= 1
         self.failing -= LEARNING * self.failing
-        self.window += 1
-        if self.window < inf and self.window > 2 * len(self.balancer.ready):
+        self.window += min(1.0, self.window)
+        if self.window < inf and self.failing < LEARNING / 2:
             self.window = inf
             self.balancer.host.log("gate open: connects are answered again")
 
@@ -480,7 +480,7 @@
         if self.failing > MOST:
             if self.window == inf:
                 self.balancer.host.log("gate narrows: most connects fail, whichever server they go to")
-            self.window = max(1, min(self.window, self.out) / 2)
+            self.window = max(LEARNING, min(self.window, self.out) / 2)
             self.failing = HALF_OPEN
 
     @property
