--- a/brambleplank/decide.py
+++ b/brambleplank/decide.py
@@ -44,22 +44,23 @@
     def __init__(self, server_id: str, now: float) -> None:
         self.id = server_id
         self.points = [place_on_ring(b"%b#%d" % (server_id.encode(), i)) for i in range(POINTS)]
-        self.zone = ""
-        self.cell = 0
+        self.zone, self.cell = "", 0
         self.condition = Condition.GONE
         self.unready_since = now  # when the list told this proxy that it drains or is gone
-        self.started = 0.0
         self.held = 0  # connects sent, or told open at the start, that have not ended
         self.waiting: dict[Connect, None] = {}  # connects out and unanswered, oldest first
+        self.groups: dict[int, dict[Flow, None]] = {}  # established here, by their place on the ring
+        self.start(0.0)
+
+    def start(self, at: float) -> None:
+        """A new process: what was known of the old one is void."""
+        self.started = at
         self.gap = 0.0  # usual time to an answer; 0 before the first
         self.silence = 0.0  # waiting that ended without an answer, since the last answer
         self.trickle = 0  # connects at once that a server set aside may have; 0: it is not set aside
-        self.pause = 0.0
-        self.retry_at = 0.0
-        self.groups: dict[int, dict[Flow, None]] = {}  # established here, by their place on the ring
+        self.pause = self.retry_at = 0.0
         self.recent, self.recent_at = 0.0, 0.0  # connects there, fading, and when last counted
-        self.slow_until = self.late_until = 0.0
-        self.dropping_until = 0.0
+        self.slow_until = self.late_until = self.dropping_until = 0.0
         self.cold_turn, self.cold_sent = -1.0, 0  # this proxy's latest turn while cold, its connects in it
 
 
@@ -171,11 +172,8 @@
             return False
         if kind.effect is Effect.ONCE_ONLY or now >= first.sent + kind.window - self.balancer.margin:
             return True
-        if kind.group == "all":
-            return False
-        if kind.group == "zone":
-            return server.zone != first.server.zone
-        return server.cell != first.server.cell
+        drops = {"all": True, "zone": server.zone == first.server.zone}
+        return not drops.get(kind.group, server.cell == first.server.cell)
 
     def avoids(self, now: float, flow: Flow, server: Server) -> int:
         return FULL if any(c.server is server for c in flow.connects) else 0
@@ -262,7 +260,7 @@
         server = connect.server
         if connect.established or end in (End.OK, End.CANCELLED, End.MOOT):
             return
-        if self.balancer.gate.shut and end in (End.ERROR, End.TIMEOUT):
+        if self.balancer.gate.window < inf and end in (End.ERROR, End.TIMEOUT):
             return  # what is shared fails; the server is not to blame
         if end is End.TIMEOUT:
             server.silence += delay
@@ -313,7 +311,7 @@
             able = [s for s in self.balancer.able if s.held or now < s.dropping_until]
             strained = sum(now < s.slow_until or now < s.dropping_until for s in able)
             short, self.looked = strained > max(2, len(able) / 5), now
-            if short is not self.is_short:
+            if short != self.is_short:
                 self.balancer.host.log("fleet short of room" if short else "fleet has room again")
             self.is_short = short
         return self.is_short
@@ -483,10 +481,6 @@
             self.window = max(LEARNING, min(self.window, self.out) / 2)
             self.failing = HALF_OPEN
 
-    @property
-    def shut(self) -> bool:
-        return self.window < inf
-
 
 class Launch(Stage):
     """Makes the connect, with a wait that leaves room for another inside the setup target."""
@@ -504,9 +498,7 @@
 
     def wait(self, now: float, flow: Flow) -> float:
         left = flow.give_up_at - self.balancer.margin - now
-        if len(flow.connects) >= self.terms.max_connects:
-            return left
-        if self.balancer.gate.failing > HALF_OPEN:
+        if len(flow.connects) >= self.terms.max_connects or self.balancer.gate.failing > HALF_OPEN:
             return left  # Danger: what is shared is late; an early time-out asks it twice.
         return min(max(flow.service_type.setup_target, 4 * self.balancer.gap), left / 2)
 
@@ -686,7 +678,7 @@
             server.zone, server.cell = zone, cell
             self.turn(now, server, condition)
             if started > server.started:
-                self.restarted(now, server, started)
+                server.start(started)
         self.servers = {s.id: s for s in self.servers.values() if s.held or s.condition is not Condition.GONE}
         self.ready = [s for s in self.servers.values() if s.condition is Condition.READY]
         self.look(now)
@@ -698,11 +690,6 @@
             server.unready_since = now
         server.condition = condition
 
-    def restarted(self, now: float, server: Server, started: float) -> None:
-        """A new process: what was known of the old one is void, and it is cold."""
-        server.started = started
-        server.trickle, server.silence, server.gap = 0, 0.0, 0.0
-
     def list_failed(self, now: float) -> None:
         """Danger: every proxy asks again at once and the list's one service never catches up."""
         self.failures += 1
