--- a/brambleplank/decide.py
+++ b/brambleplank/decide.py
@@ -191,6 +191,10 @@
         if not self.cold(now, server):
             return False
         age = now - server.started
+        able = self.terms.cold_from + (1 - self.terms.cold_from) * age / self.terms.ramp_time
+        fresh = not flow.returned and not flow.connects and server is self.balancer.ring.owner(flow.spot)
+        if fresh and self.balancer.rng.random() < able / 2 and server.cold_sent == 0:
+            return False
         turn, part = divmod(age / self.terms.fall_time, 2)
         if turn % self.terms.proxies != self.terms.number or part >= 1:
             return True
