Relief in proportion to lateness; cold servers outside turns only from half warm on

Cause: early signs moved as many as real lateness; one connect can be over a young server's whole budget.

--- a/brambleplank/decide.py
+++ b/brambleplank/decide.py
@@ -182,9 +182,9 @@
 class Cold(Stage):
     """Lets a server that has just started have only this proxy's own share of its budget.
 
-    Danger: a few connections placed at once, by proxies that know nothing of each other, push it over. The
-    time since its start is cut into turns, one proxy each, with as long a rest after each, so that no span
-    that counts holds the connects of two proxies. What the others carry tells what it might.
+    Danger: a few connections placed at once, by proxies that know nothing of each other, push it over. So a
+    burst waits for the turn of one proxy; a rest after each turn keeps two out of any span. Hundreds seldom
+    have a turn: from half warm on, outside turns, it gets one of its own fresh flows from each, by chance.
     """
 
     def forbids(self, now: float, flow: Flow, server: Server) -> bool:
@@ -193,23 +193,18 @@
         age = now - server.started
         able = self.terms.cold_from + (1 - self.terms.cold_from) * age / self.terms.ramp_time
         fresh = not flow.returned and not flow.connects and server is self.balancer.ring.owner(flow.spot)
-        if fresh and self.balancer.rng.random() < able / 2 and server.cold_sent == 0:
+        if fresh and self.balancer.rng.random() < able - 1 / 2 and server.cold_sent == 0:
             return False
         turn, part = divmod(age / self.terms.fall_time, 2)
         if turn % self.terms.proxies != self.terms.number or part >= 1:
             return True
-        sent = server.cold_sent if server.cold_turn == turn else 0
-        return sent + 0.5 > self.budget(now, age)
+        usual = self.balancer.served_rate(now) * self.terms.proxies / max(1, len(self.balancer.able))
+        budget = self.terms.overload_factor * able * usual * self.terms.fall_time  # of a server like the mean
+        return (server.cold_sent if server.cold_turn == turn else 0) + 0.5 > budget
 
     def cold(self, now: float, server: Server) -> bool:
         return server.started > 0 and now < server.started + self.terms.ramp_time
 
-    def budget(self, now: float, age: float) -> float:
-        """Connects in one turn that a server no abler than the mean stands."""
-        able = self.terms.cold_from + (1 - self.terms.cold_from) * age / self.terms.ramp_time
-        usual = self.balancer.served_rate(now) * self.terms.proxies / max(1, len(self.balancer.able))
-        return self.terms.overload_factor * able * usual * self.terms.fall_time
-
     def onward(self, now: float, flow: Flow) -> bool:
         server = flow.target
         if server and self.cold(now, server):
@@ -304,7 +299,7 @@
         if seconds > self.balancer.shortest_message / 3:
             server.slow_until = now + 3 * NEWS_PERIOD * self.balancer.sparse()
             server.late_until = server.slow_until if seconds > self.balancer.shortest_message else now
-            self.relieve(now, server, seconds > self.balancer.shortest_message)
+            self.relieve(now, server, seconds / self.balancer.shortest_message)
         else:
             server.slow_until = server.late_until = now
 
@@ -330,7 +325,7 @@
             return inf
         return 1 + self.balancer.members.get(flow.spot, 0) // max(1.0, self.balancer.mean())
 
-    def relieve(self, now: float, server: Server, late: bool) -> None:
+    def relieve(self, now: float, server: Server, lateness: float) -> None:
         """Moves the smallest group there, whole, to where the ring now sends it.
 
         Danger: a server with too much stays slow for as long as its connections live. A small group takes
@@ -341,10 +336,10 @@
         smallest = min(server.groups, key=lambda spot: (len(server.groups[spot]), spot))
         flows = list(server.groups[smallest])
         if len(flows) > self.balancer.mean() / 2 + 1:
-            flows = flows[-1:] if late else []
-        if self.short(now) and not late:
+            flows = flows[-1:] if lateness > 1 else []
+        if self.short(now) and lateness <= 1:
             return  # Danger: a fleet short of room only chases its groups from server to server.
-        if self.balancer.rng.random() * len(flows) > RELIEF * server.held:
+        if self.balancer.rng.random() * len(flows) > RELIEF * min(1.0, lateness) * server.held:
             return  # Danger: hundreds of proxies with a connection each there empty it in one second.
         for flow in flows:
             self.balancer.host.move(flow)
