A returned flow passes small unknown servers more often than large ones

Cause: the ring gives slow machines the mean share, and what was moved off them went back to such as often as to large ones.

--- a/brambleplank/decide.py
+++ b/brambleplank/decide.py
@@ -44,7 +44,7 @@
     def __init__(self, server_id: str, now: float) -> None:
         self.id = server_id
         self.points = [place_on_ring(b"%b#%d" % (server_id.encode(), i)) for i in range(POINTS)]
-        self.zone, self.cell = "", 0
+        self.zone, self.cell, self.size = "", 0, 1.0
         self.condition = Condition.GONE
         self.unready_since = now  # when the list told this proxy that it drains or is gone
         self.held = 0  # connects sent, or told open at the start, that have not ended
@@ -290,7 +290,7 @@
             return HARMFUL
         # Danger: another proxy broke or moved it for a reason that this one, with nothing there, is not told;
         # of few proxies it is as likely that one of them died.
-        others = 1 / 2 - 1 / self.terms.proxies
+        others = (1 / 2 - 1 / self.terms.proxies) * self.balancer.usual_size / server.size
         unknown = flow.returned and not server.held and self.balancer.rng.random() < others
         return SLOW if unknown or now < server.slow_until else 0
 
@@ -525,7 +525,7 @@
         self.servers: dict[str, Server] = {}
         self.ready: list[Server] = []
         self.able: list[Server] = []  # those of them that are warm
-        self.held = 0  # connections on ready servers
+        self.held, self.usual_size = 0, 1.0  # connections on ready servers; the mean of these servers' sizes
         self.gap = 0.0  # usual time to an answer, over the fleet
         self.margin = 2 * terms.tick
         self.floor = min(kind.setup_target for kind in terms.service_types.values()) / 4
@@ -671,10 +671,10 @@
             for server in self.servers.values():
                 if server.id not in named:
                     self.turn(now, server, Condition.GONE)
-        for server_id, zone, cell, condition, _size, started in entries:
+        for server_id, zone, cell, condition, size, started in entries:
             server = self.servers.get(server_id) or Server(server_id, now)
             self.servers[server_id] = server
-            server.zone, server.cell = zone, cell
+            server.zone, server.cell, server.size = zone, cell, size
             self.turn(now, server, condition)
             if started > server.started:
                 server.start(started)
@@ -682,6 +682,7 @@
         self.ready = [s for s in self.servers.values() if s.condition is Condition.READY]
         self.look(now)
         self.held = sum(s.held for s in self.ready)
+        self.usual_size = sum(s.size for s in self.ready) / max(1, len(self.ready))
         self.ring.build([s for s in self.servers.values() if s.condition is not Condition.GONE])
 
     def turn(self, now: float, server: Server, condition: Condition) -> None:
