--- a/brambleplank/decide.py
+++ b/brambleplank/decide.py
@@ -339,7 +339,7 @@
             flows = flows[-1:] if lateness > 1 else []
         if self.short(now) and lateness <= 1:
             return  # Danger: a fleet short of room only chases its groups from server to server.
-        if self.balancer.rng.random() * len(flows) > RELIEF * min(1.0, lateness) * server.held:
+        if self.balancer.rng.random() * len(flows) > RELIEF * min(1.0, lateness) * server.held / (1 + 2 * self.is_short):
             return  # Danger: hundreds of proxies with a connection each there empty it in one second.
         for flow in flows:
             self.balancer.host.move(flow)
