A returned flow passes an unknown owner at three in four

Cause: nearly all returns at size are moves, and the owner is the likeliest to have sent the flow away.

--- a/brambleplank/decide.py
+++ b/brambleplank/decide.py
@@ -131,11 +131,9 @@
     """One final answer, ahead of the connect timeout; what is given up on is answered at once."""
 
     def onward(self, now: float, flow: Flow) -> bool:
-        if not flow.connects:
-            self.balancer.host.alarm(
-                max(0.0, flow.give_up_at - self.balancer.margin - now), lambda at: self.expire(at, flow)
-            )
         left = flow.give_up_at - self.balancer.margin - now
+        if not flow.connects:
+            self.balancer.host.alarm(max(0.0, left), lambda at: self.expire(at, flow))
         if len(flow.connects) < self.terms.max_connects and left > 0:
             return True
         self.balancer.give_up(flow)
@@ -288,11 +286,13 @@
             return HARMFUL
         if now < server.late_until and self.short(now):
             return HARMFUL
-        # Danger: another proxy broke or moved it for a reason that this one, with nothing there, is not told;
-        # of few proxies it is as likely that one of them died.
-        others = (1 / 2 - 1 / self.terms.proxies) * self.balancer.usual_size / server.size
-        unknown = flow.returned and not server.held and self.balancer.rng.random() < others
-        return SLOW if unknown or now < server.slow_until else 0
+        if now < server.slow_until or server.held or not flow.returned:
+            return SLOW if now < server.slow_until else 0
+        # Danger: another proxy broke or moved it for a reason that this one, with nothing there, is not told.
+        # Its owner and small servers are the likeliest cause; of few proxies it may as well be that one died.
+        likely = 3 / 4 if server is self.balancer.ring.owner(flow.spot) else 1 / 2
+        others = (1 - 2 / self.terms.proxies) * self.balancer.usual_size / server.size
+        return SLOW if self.balancer.rng.random() < likely * others else 0
 
     def slow(self, now: float, server: Server, seconds: float) -> None:
         """A message's time there; told about once a second while it is long."""
@@ -318,8 +318,7 @@
     def reach(self, now: float, flow: Flow) -> float:
         """How many servers round the ring a flow may look at.
 
-        Danger: every server that holds any of a group pays for it. In a fleet short of room each step aside
-        makes room scarcer, until groups lie everywhere and nothing is served.
+        Danger: every server that holds any of a group pays for it; without room each step aside costs more.
         """
         if not self.short(now):
             return inf
@@ -339,7 +338,7 @@
             flows = flows[-1:] if lateness > 1 else []
         if self.short(now) and lateness <= 1:
             return  # Danger: a fleet short of room only chases its groups from server to server.
-        if self.balancer.rng.random() * len(flows) > RELIEF * min(1.0, lateness) * server.held / (1 + 2 * self.is_short):
+        if self.balancer.rng.random() * len(flows) > RELIEF * min(1.0, lateness) * server.held:
             return  # Danger: hundreds of proxies with a connection each there empty it in one second.
         for flow in flows:
             self.balancer.host.move(flow)
