--- a/tests/test_stories.py
+++ b/tests/test_stories.py
@@ -309,3 +309,88 @@
         fake.proxy.message_time_told(fake.now, flow, 0, 0.05)
     fake.pass_time(1.0)
     assert fake.proxy.strain.short(fake.now)
+
+
+def test_hundreds_of_proxies_with_one_connection_each_do_not_empty_a_slow_server_at_once() -> None:
+    moved = 0
+    for number in range(200):
+        fake = Fake(proxies=200, number=number, seed=number)
+        flow = fake.come(group=1, at=fake.proxy.ready[0])
+        fake.proxy.message_time_told(fake.now, flow, 0, 0.2)
+        moved += len(fake.asked("move"))
+    assert 40 < moved < 100
+
+
+@pytest.mark.parametrize(("proxies", "least", "most"), [(200, 100, 170), (2, 0, 0)])
+def test_a_returned_flow_passes_an_owner_unknown_here_unless_proxies_are_few(
+    proxies: int, least: int, most: int
+) -> None:
+    passed = 0
+    for seed in range(200):
+        fake = Fake(proxies=proxies, seed=seed)
+        flow = fake.come(group=1, returned=True)
+        passed += flow.connects[0].server is not fake.proxy.ring.owner(flow.spot)
+    assert least <= passed <= most
+
+
+def test_what_was_moved_off_small_machines_goes_to_large_ones_more_often() -> None:
+    to_large = 0
+    for seed in range(200):
+        fake = Fake(proxies=200, seed=seed)
+        for server in fake.proxy.ready:
+            server.size = 4.0 if int(server.id[7]) % 2 else 1.0
+        to_large += fake.come(seed, returned=True).connects[0].server.size > 1
+    assert to_large > 120  # two of five servers are large
+
+
+def test_a_proxy_with_a_handful_of_connections_sees_a_large_fleet_short_of_room() -> None:
+    fake = Fake(servers=90, proxies=300)
+    for key, server in enumerate(fake.proxy.ready[:4]):
+        fake.proxy.message_time_told(fake.now, fake.come(group=key, at=server), 0, 0.05)
+    fake.pass_time(1.0)
+    assert fake.proxy.strain.short(fake.now)
+
+
+@pytest.mark.parametrize(("proxies", "passed_over"), [(50, True), (2, False)])
+def test_where_proxies_outnumber_servers_a_slow_server_is_remembered_longer(
+    proxies: int, passed_over: bool
+) -> None:
+    fake = Fake(proxies=proxies)
+    flow = fake.stand(fake.come(7))
+    fake.proxy.message_time_told(fake.now, flow, 0, 0.05)
+    fake.pass_time(9.0)
+    assert (fake.come(7).connects[0].server is not flow.connects[0].server) is passed_over
+
+
+def test_hundreds_of_proxies_without_a_turn_bring_a_cold_server_a_few_flows_once_half_warm() -> None:
+    ages = []
+    for number in range(100, 300):
+        fake = Fake(proxies=300, number=number, seed=number)
+        fake.told({"10.0.0.9:80": Condition.READY}, started=fake.now)
+        for key in range(200):
+            fake.pass_time(TERMS.ramp_time / 201)
+            if fake.come(key).connects[-1].server.id == "10.0.0.9:80":
+                ages.append(fake.now - fake.server("10.0.0.9:80").started)
+    half_warm = TERMS.ramp_time * (0.5 - TERMS.cold_from) / (1 - TERMS.cold_from)
+    assert 100 < len(ages) <= 200 and min(ages) > half_warm  # one each at most
+
+
+def test_a_server_that_restarts_while_set_aside_keeps_nothing_of_the_old_process(fake: Fake) -> None:
+    flow = fake.stand(fake.come(7))
+    server = flow.connects[0].server
+    fake.proxy.message_time_told(fake.now, flow, 0, 0.2)
+    fake.end(flow, End.RESET, complete=True)
+    fake.end(fake.come(7, at=server), End.RESET, complete=True)
+    fake.told({server.id: Condition.READY}, started=fake.now - TERMS.ramp_time)
+    assert not server.trickle and fake.come(7).connects[0].server is server
+
+
+def test_a_ring_changed_server_by_server_is_the_ring_of_the_list() -> None:
+    fake, other = Fake(servers=200), Fake(servers=300)
+    fake.told({f"10.0.0.{i}:80": Condition.READY for i in range(100, 300)})
+    fake.told({f"10.0.0.{i}:80": Condition.GONE for i in range(50)})
+    other.told({f"10.0.0.{i}:80": Condition.READY for i in range(50, 300)}, whole=True)
+    assert fake.proxy.ring.points == other.proxy.ring.points
+    assert owner(fake, 7) == owner(other, 7)
+    fake.told({}, whole=True)
+    assert not fake.come(7).connects and fake.asked("reject")
