Check every event's fields by kind; name garbled input instead of tracing it

A garbled list entry, a field of the wrong kind, an unknown alarm or service type gave a stack trace; a connection open at a server that the saved list lacks was sent again. Both have stories now.

--- a/brambleplank/decide.py
+++ b/brambleplank/decide.py
@@ -484,8 +484,7 @@
     """Makes the connect, with a wait that leaves room for another inside the setup target."""
 
     def onward(self, now: float, flow: Flow) -> bool:
-        server = flow.target
-        assert server is not None
+        assert (server := flow.target) is not None
         connect = Connect(flow, server, now)
         flow.connects.append(connect)
         flow.may_have_run = flow.may_have_run or connect
@@ -671,8 +670,7 @@
                 if server.id not in named:
                     self.turn(now, server, Condition.GONE)
         for server_id, zone, cell, condition, size, started in entries:
-            server = self.servers.get(server_id) or Server(server_id, now)
-            self.servers[server_id] = server
+            server = self.record(now, server_id)
             server.zone, server.cell, server.size = zone, cell, size
             self.turn(now, server, condition)
             if started > server.started:
@@ -684,6 +682,9 @@
         self.usual_size = sum(s.size for s in self.ready) / max(1, len(self.ready))
         self.ring.build([s for s in self.servers.values() if s.condition is not Condition.GONE])
 
+    def record(self, now: float, server_id: str) -> Server:
+        return self.servers.get(server_id) or self.servers.setdefault(server_id, Server(server_id, now))
+
     def turn(self, now: float, server: Server, condition: Condition) -> None:
         if server.condition is Condition.READY and condition is not Condition.READY:
             server.unready_since = now
--- a/brambleplank/wirehost/door.py
+++ b/brambleplank/wirehost/door.py
@@ -37,11 +37,12 @@
         valid_until: int | None, expected: int | None, channel: int | None, options: int | None,
         server: str | None = None,
     ) -> None:
+        known(self.balancer.terms.service_types, service, "service type")
         bits = options or 0
         flow = self.balancer.flow(
             now, flow_id, service, owner if isinstance(owner, str) else "", affinity, channel,
             (valid_until or 0) * MICRO, bool(bits & MIDFLOW), bool(bits & RETURNED),
-            None if server is None else self.balancer.servers.get(server),
+            None if server is None else self.balancer.record(now, server),
         )
         self.keep(flow_id, flow)
 
@@ -72,6 +73,7 @@
                 self.balancer.message_time_told(now, flow, trial, amount / 1000)
 
     def elapsed(self, now: float, token: int) -> None:
+        known(self.alarms, token, "alarm")
         self.alarms.pop(token)(now)
 
     def probe_result(
--- a/brambleplank/wirehost/pipe.py
+++ b/brambleplank/wirehost/pipe.py
@@ -10,18 +10,24 @@
 from brambleplank.wirehost.door import Door
 from brambleplank.wirehost.terms import MICRO, MalformedError
 
-# Each event's call and how many fields follow the instance's name.
-CALLS: dict[str, tuple[Callable[..., None], int]] = {
-    "WORK_ITEM": (Door.work_item, 8),
-    "CARRIED": (Door.work_item, 9),
-    "ESTABLISHED": (Door.established, 4),
-    "ATTEMPT_END": (Door.attempt_end, 7),
-    "LAPSED": (Door.lapsed, 1),
-    "CHANGE": (Door.change, 5),
-    "ELAPSED": (Door.elapsed, 1),
-    "PROBE_RESULT": (Door.probe_result, 4),
-    "PEER": (Door.peer, 2),
+Kinds = tuple[Any, ...]
+NUMBER = int | float
+OPTIONAL = int | None
+ITEM: Kinds = (str, str, object, OPTIONAL, OPTIONAL, NUMBER | None, OPTIONAL, OPTIONAL)
+
+# Each event's call and the kinds of the fields that follow the instance's name.
+CALLS: dict[str, tuple[Callable[..., None], Kinds]] = {
+    "WORK_ITEM": (Door.work_item, ITEM),
+    "CARRIED": (Door.work_item, (*ITEM, str)),
+    "ESTABLISHED": (Door.established, (str, int, str, NUMBER)),
+    "ATTEMPT_END": (Door.attempt_end, (str, int, str, int, NUMBER | None, bool, list | None)),
+    "LAPSED": (Door.lapsed, (str,)),
+    "CHANGE": (Door.change, (str, str, NUMBER, int, int)),
+    "ELAPSED": (Door.elapsed, (int,)),
+    "PROBE_RESULT": (Door.probe_result, (str, int, NUMBER | None, list | None)),
+    "PEER": (Door.peer, (int, str)),
 }
+ENTRY: Kinds = (str, str, object, int, str, NUMBER | None, NUMBER | None)
 
 
 class Pipe:
@@ -51,33 +57,35 @@
 
     def event(self, now: float, name: str, fields: list[Any]) -> None:
         if name == "TABLE":
-            need(name, fields, 2)
+            need(name, fields, (int, list))
+            for entry in fields[1]:
+                need("a list entry", entry, ENTRY)
             self.tables[fields[0]] = fields[1]
             return
         if name == "ENLIST":
-            need(name, fields, 3)
+            need(name, fields, (str, int, dict))
             self.enlist(fields[0], fields[1], fields[2])
             return
         if name not in CALLS and name not in ("DETACH", "ROSTER_CHANGE"):
             raise MalformedError(f"unknown event {name!r:.40}")
-        need(name, fields, 1)
+        need(name, fields, (str,))
         door = self.doors.get(fields[0])
         if door is None:
             raise MalformedError(f"{name} for an unknown instance {fields[0]!r:.40}")
         if name == "DETACH":
             del self.doors[fields[0]]
         elif name == "ROSTER_CHANGE":
-            need(name, fields, 2)
+            need(name, fields, (str, str))
             self.run(door, Door.roster, now, fields[1], self.entries(name, fields))
         else:
-            call, count = CALLS[name]
-            need(name, fields, 1 + count)
-            self.run(door, call, now, *fields[1 : 1 + count])
+            call, kinds = CALLS[name]
+            need(name, fields, (str, *kinds))
+            self.run(door, call, now, *fields[1 : 1 + len(kinds)])
 
     def entries(self, name: str, fields: list[Any]) -> list[list[Any]]:
         if fields[1] == "FAILED":
             return []
-        need(name, fields, 4)
+        need(name, fields, (str, str, OPTIONAL, int))
         if fields[3] not in self.tables:
             raise MalformedError(f"{name} names list {fields[3]!r:.40}, which no TABLE gave")
         return self.tables[fields[3]]
@@ -98,9 +106,13 @@
             self.out.append(["INTERNAL_ERROR", door.name, traceback.format_exc(limit=-4)])
 
 
-def need(name: str, fields: list[Any], count: int) -> None:
-    if len(fields) < count:
-        raise MalformedError(f"{name} has {len(fields)} fields, needs {count}")
+def need(name: str, fields: Any, kinds: Kinds) -> None:
+    """The fields that the event must have, each of its kind; more may follow."""
+    if not isinstance(fields, list) or len(fields) < len(kinds):
+        raise MalformedError(f"{name} needs {len(kinds)} fields, not {fields!r:.80}")
+    for field, kind in zip(fields, kinds, strict=False):
+        if not isinstance(field, kind):
+            raise MalformedError(f"{name} does not take {field!r:.40} where it stands")
 
 
 def serve(lines: TextIO, replies: TextIO, errors: TextIO) -> int:
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -9,6 +9,9 @@
 
 import pytest
 
+from brambleplank.decide import Balancer
+from brambleplank.wirehost.pipe import Pipe
+
 INFO = {
     "balancers": 1, "slot_no": 0, "tick_us": 5000, "discovery": "push", "an_unknown_key": 1,
     "policy_limits": {
@@ -64,6 +67,13 @@
         ('{"t_us":1,"news":[["ENLIST","proxy/0",1,{}]]}', "policy_limits"),
         ('{"t_us":1,"news":[["PROBE_RESULT","proxy/0","10.0.0.1:80",999,5,null]]}', "999"),
         ('{"t_us":1,"news":[["ROSTER_CHANGE","proxy/0","HALF",2,0]]}', "HALF"),
+        ('{"t_us":1,"news":[["TABLE",0,[["10.0.0.1:80","a","m",0,"IN","big",null]]]]}', "big"),
+        ('{"t_us":1,"news":[["TABLE",0,[["10.0.0.1:80"]]]]}', "a list entry needs 7"),
+        ('{"t_us":1,"news":[["TABLE",[],[]]]}', "TABLE"),
+        ('{"t_us":1,"news":[["LAPSED",["proxy/0"],"aa"]]}', "LAPSED"),
+        ('{"t_us":1,"news":[["ELAPSED","proxy/0",77]]}', "77"),
+        (json.dumps({"t_us": 1, "news": [[*FLOW[:3], "unheard-of", *FLOW[4:]]]}), "unheard-of"),
+        (json.dumps({"t_us": 1, "news": [[*FLOW[:5], "seven", *FLOW[6:]]]}), "seven"),
     ],
 )
 def test_malformed_input_is_named_on_stderr_and_ends_the_process(line: str, named: str) -> None:
@@ -71,6 +81,20 @@
     assert code != 0 and named in said and "Traceback" not in said and len(replies) == 1
 
 
-def test_an_exception_in_the_module_is_told_not_swallowed() -> None:
-    _, replies, _ = run([*START, [*FLOW[:3], "unheard-of", *FLOW[4:]]])
-    assert [a[0] for a in replies[0]] == ["INTERNAL_ERROR"]
+def test_an_exception_in_the_module_is_told_not_swallowed(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(Balancer, "place", lambda *_: 1 / 0)
+    reply = json.loads(Pipe().batch(json.dumps({"t_us": 10**6, "news": [*START, FLOW]})))
+    assert [a[0] for a in reply["out"]] == ["INTERNAL_ERROR"]
+
+
+def test_a_connection_open_at_a_server_that_the_saved_list_lacks_is_kept_not_sent_again() -> None:
+    carried = ["CARRIED", *FLOW[1:], "10.0.0.9:80"]
+    end = ["ATTEMPT_END", "proxy/0", FLOW[2], 0, "10.0.0.9:80", 104, 0, True, None]
+    code, replies, said = run([*START, carried], [end])
+    assert (code, said, [a for a in replies[0] if a[0] == "DELIVER"]) == (0, "", [])
+
+
+def test_proxies_beyond_the_count_told_and_an_empty_list_get_an_answer() -> None:
+    start = [["ENLIST", "proxy/0", 1, {**INFO, "slot_no": 9}], ["TABLE", 0, []], START[2]]
+    code, replies, _ = run([*start, FLOW])
+    assert code == 0 and [a[0] for a in replies[0]][-1] == "BUSY"
