--- a/brambleplank/decide.py
+++ b/brambleplank/decide.py
@@ -568,8 +568,8 @@
         return self.held / max(1, len(self.able))
 
     def sparse(self) -> float:
-        """How much longer than alone this proxy is without news of a server, for so many send to it."""
-        return max(1.0, self.terms.proxies / max(1, len(self.able)))
+        """How much longer evidence holds here, where fewer than one connection a server brings news."""
+        return min(self.terms.ramp_time / self.terms.fall_time, 1 / min(1.0, self.mean() + 0.01))
 
     def look(self, now: float) -> None:
         """Danger: servers that have just joined look like room, and the others too full beside them."""
