--- /dev/null
+++ b/brambleplank/__main__.py
@@ -0,0 +1,7 @@
+"""`python -m brambleplank`: one proxy, as `ROUTER_CONFIG` describes it."""
+
+import sys
+
+from brambleplank.net.run import main
+
+sys.exit(main())
--- a/brambleplank/decide.py
+++ b/brambleplank/decide.py
@@ -19,6 +19,7 @@
 from itertools import chain
 from math import exp, inf
 from random import Random
+from typing import Any
 
 from brambleplank.host import Condition, Effect, End, Host, ServiceType, Terms
 
@@ -31,6 +32,7 @@
 NEWS_PERIOD = 1.0  # seconds between two tellings of a server's message time, as hosts give them
 MOST, HALF_OPEN = 1 / 2, 1 / 4  # shares of failed connects: the gate narrows; where it then starts anew
 RELIEF = 1 / 3  # share of its own on a slow server that a proxy moves a telling, on average
+ROOM_KEPT = 1 / 8  # share of the descriptors that is left to final answers and the list
 TRICKLE_FULL = 8  # connects in a row that went well, doubling from one, before a server is trusted again
 
 
@@ -43,6 +45,7 @@
 
     def __init__(self, server_id: str, now: float) -> None:
         self.id = server_id
+        self.handle: Any = None  # the host's own
         self.points = [place_on_ring(b"%b#%d" % (server_id.encode(), i)) for i in range(POINTS)]
         self.zone, self.cell, self.size = "", 0, 1.0
         self.condition = Condition.GONE
@@ -68,26 +71,19 @@
     """One connect of a flow."""
 
     def __init__(self, flow: Flow, server: Server, sent: float) -> None:
-        self.flow = flow
-        self.server = server
-        self.sent = sent
-        self.established = False
-        self.over = False
+        self.flow, self.server, self.sent = flow, server, sent
+        self.established = self.over = False
 
 
 class Flow:
     """A client's connection, from its arrival to its end."""
 
     def __init__(
-        self, handle: object, service_type: ServiceType, spot: int, give_up_at: float, midflow: bool,
+        self, handle: Any, service_type: ServiceType, spot: int, give_up_at: float, midflow: bool,
         returned: bool,
     ) -> None:
-        self.handle = handle
-        self.service_type = service_type
-        self.spot = spot
-        self.give_up_at = give_up_at
-        self.midflow = midflow
-        self.returned = returned
+        self.handle, self.service_type, self.spot = handle, service_type, spot
+        self.give_up_at, self.midflow, self.returned = give_up_at, midflow, returned
         self.connects: list[Connect] = []
         self.target: Server  # where the ring places it
         self.answered = False  # nothing more is owed to the client
@@ -134,7 +130,9 @@
         left = flow.give_up_at - self.balancer.margin - now
         if not flow.connects:
             self.balancer.host.alarm(max(0.0, left), lambda at: self.expire(at, flow))
-        if len(flow.connects) < self.terms.max_connects and left > 0:
+        # Danger: with no descriptor left, nothing can be connected, accepted or followed any more.
+        fits = self.balancer.host.room() > ROOM_KEPT
+        if fits and len(flow.connects) < self.terms.max_connects and left > 0:
             return True
         self.balancer.give_up(flow)
         return False
@@ -341,9 +339,7 @@
         if self.balancer.rng.random() * len(flows) > RELIEF * min(1.0, lateness) * server.held:
             return  # Danger: hundreds of proxies with a connection each there empty it in one second.
         for flow in flows:
-            self.balancer.host.move(flow)
-            self.balancer.leave(flow)
-            flow.answered = True
+            self.balancer.send_off(flow)
 
     def back(self, now: float, connect: Connect, end: End, delay: float) -> None:
         if connect.established and end is End.RESET:
@@ -447,8 +443,7 @@
 
     def __init__(self, balancer: Balancer) -> None:
         super().__init__(balancer)
-        self.failing = 0.0  # share of connects that failed lately
-        self.out = 0
+        self.out, self.failing = 0, 0.0  # connects out; share of them that failed lately
         self.window = inf  # connects that may be out; without bound in good times
 
     def onward(self, now: float, flow: Flow) -> bool:
@@ -517,19 +512,16 @@
     """One proxy's decisions."""
 
     def __init__(self, host: Host, terms: Terms, seed: int) -> None:
-        self.host = host
-        self.terms = terms
-        self.rng = Random(seed)
+        self.host, self.terms, self.rng = host, terms, Random(seed)
         self.servers: dict[str, Server] = {}
         self.ready: list[Server] = []
         self.able: list[Server] = []  # those of them that are warm
         self.held, self.usual_size = 0, 1.0  # connections on ready servers; the mean of these servers' sizes
-        self.gap = 0.0  # usual time to an answer, over the fleet
-        self.margin = 2 * terms.tick
+        self.gap, self.margin = 0.0, 2 * terms.tick  # usual time to an answer, over the fleet; a spare
         self.floor = min(kind.setup_target for kind in terms.service_types.values()) / 4
         self.begun = -1.0  # when the first list came
         self.served, self.served_at = 0.0, 0.0  # ends that were well, fading over the time servers warm
-        self.failures = 0  # calls for the list that failed in a row
+        self.failures, self.stopping = 0, False  # calls for the list that failed in a row; a planned stop
         self.shortest_message = min(kind.message_target for kind in terms.service_types.values())
         self.ring = Ring(self)
         self.homes: dict[int, Server] = {}  # where displaced groups went, by their place on the ring
@@ -545,8 +537,8 @@
         self.ring.avoid = [s.avoids for s in self.chain if type(s).avoids is not Stage.avoids]
 
     def flow(
-        self, now: float, handle: object, service_type: str, customer: str, key: int | None,
-        group: int | None, give_up_at: float, midflow: bool, returned: bool, server: Server | None = None,
+        self, now: float, handle: Any, service_type: str, key: int | None, group: int | None,
+        give_up_at: float, midflow: bool, returned: bool, server: Server | None = None,
     ) -> Flow:
         spot = self.rng.getrandbits(128)
         if group is not None:
@@ -597,6 +589,22 @@
         else:
             self.host.abort(flow)
 
+    def stop(self, now: float) -> None:
+        """A planned stop: all that stands here, or soon will, is moved one by one while others take it up."""
+        self.stopping = True
+        for server in self.servers.values():
+            for flow in chain.from_iterable(server.groups.values()):
+                self.dismiss(flow)
+
+    def dismiss(self, flow: Flow) -> None:
+        # Danger: moved in one instant, they all stand before the other proxies and the servers at once.
+        self.host.alarm(self.rng.uniform(0.0, self.terms.leave_within), lambda at: self.send_off(flow))
+
+    def send_off(self, flow: Flow) -> None:
+        self.host.move(flow)
+        self.leave(flow)
+        flow.answered = True
+
     def hold(self, server: Server, change: int) -> None:
         server.held += change
         if server.condition is Condition.READY:
@@ -608,6 +616,8 @@
         if connect.server is not self.ring.owner(connect.flow.spot):
             self.homes[connect.flow.spot] = connect.server
         connect.server.groups.setdefault(connect.flow.spot, {})[connect.flow] = None
+        if self.stopping:
+            self.dismiss(connect.flow)
 
     def leave(self, flow: Flow) -> None:
         """The flow's connection no longer counts for its group."""
@@ -628,8 +638,7 @@
             stage.stands(now, flow.connects[number], delay)
 
     def connect_ended(
-        self, now: float, flow: Flow, number: int, end: End, delay: float, complete: bool,
-        report: list[float] | None,
+        self, now: float, flow: Flow, number: int, end: End, delay: float, complete: bool
     ) -> None:
         flow.answered = flow.answered or complete
         if end is End.OK:
@@ -647,14 +656,6 @@
     def load_told(self, now: float, flow: Flow, number: int, load: float) -> None:
         """Not used: moving the heaviest first did worse than the latest."""
 
-    def probe_ended(
-        self, now: float, server: Server, end: End, delay: float, report: list[float] | None
-    ) -> None:
-        """Not used: no probe is sent, as probing before each trial changed nothing."""
-
-    def peer_told(self, now: float, peer: int, text: str) -> None:
-        """Not used: peers say nothing to each other."""
-
     def list_told(
         self, now: float, entries: list[tuple[str, str, int, Condition, float, float]], whole: bool
     ) -> None:
--- a/brambleplank/host.py
+++ b/brambleplank/host.py
@@ -11,7 +11,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 from enum import Enum
-from typing import TYPE_CHECKING, Protocol
+from typing import TYPE_CHECKING, Any, Protocol
 
 if TYPE_CHECKING:
     from brambleplank.decide import Flow, Server
@@ -75,6 +75,10 @@
     ramp_time: float
     overload_factor: float
     fall_time: float
+    connect_within: float  # a connection that is not up by then never comes up
+    leave_within: float  # from a planned stop on, the time to move what stands
+    groups: bool  # whether a flow names the group that it shares work with
+    tells_load: bool
     service_types: dict[str, ServiceType]
 
 
@@ -96,20 +100,11 @@
     def move(self, flow: Flow) -> None:
         """End an established connection politely; its client comes again."""
 
-    def probe(self, server: Server) -> None:
-        """Send a health check."""
-
-    def close_idle(self, server: Server) -> None:
-        """Give back the connections to a server that carry nothing now."""
-
     def follow_list(self) -> None:
         """Subscribe to the list of servers, missed changes first."""
 
-    def ask_list(self) -> None:
-        """Ask once for the whole list."""
-
-    def tell_peer(self, peer: int | None, text: str) -> None:
-        """A short message to one proxy, or to all others."""
+    def room(self) -> float:
+        """The share of this proxy's descriptors that is free; 1 where none are counted."""
 
     def alarm(self, delay: float, call: Callable[[float], None]) -> None:
         """Call back with the time, not before the delay has passed."""
@@ -122,20 +117,19 @@
     """Calls in: what a host tells a balancer."""
 
     def flow(
-        self, now: float, handle: object, service_type: str, customer: str, key: int | None,
-        group: int | None, give_up_at: float, midflow: bool, returned: bool, server: Server | None = None,
+        self, now: float, handle: Any, service_type: str, key: int | None, group: int | None,
+        give_up_at: float, midflow: bool, returned: bool, server: Server | None = None,
     ) -> Flow:
         """A flow has come; with a server, a connection that is already open there.
 
-        The handle is the host's own and comes back on `Flow.handle`, untouched.
+        The handle is the host's own and comes back on `Flow.handle`, untouched, as does `Server.handle`.
         """
 
     def established(self, now: float, flow: Flow, number: int, delay: float) -> None:
         """A connect stands; it now lasts until `connect_ended`."""
 
     def connect_ended(
-        self, now: float, flow: Flow, number: int, end: End, delay: float, complete: bool,
-        report: list[float] | None,
+        self, now: float, flow: Flow, number: int, end: End, delay: float, complete: bool
     ) -> None:
         """A connect is over; complete: nothing more is owed for the flow."""
 
@@ -148,13 +142,8 @@
     def message_time_told(self, now: float, flow: Flow, number: int, seconds: float) -> None:
         """How long a message takes now at the server of that connect."""
 
-    def probe_ended(
-        self, now: float, server: Server, end: End, delay: float, report: list[float] | None
-    ) -> None:
-        """The answer to a probe."""
-
-    def peer_told(self, now: float, peer: int, text: str) -> None:
-        """Another proxy has sent a message."""
+    def stop(self, now: float) -> None:
+        """A planned stop is near: empty this proxy."""
 
     def list_told(
         self, now: float, entries: list[tuple[str, str, int, Condition, float, float]], whole: bool
--- /dev/null
+++ b/brambleplank/net/buffers.py
@@ -0,0 +1,83 @@
+"""Buffers of one size from a pool, and the transports that read into them."""
+
+from __future__ import annotations
+
+from socket import socket
+from typing import Any
+
+from twisted.internet import main, tcp
+
+SIZE = 16 * 1024  # several lines of the longest kind
+
+
+class Pool:
+    """Buffers that were given back are used again; what a burst needed beyond a few is let go."""
+
+    def __init__(self, kept: int) -> None:
+        self.kept = kept
+        self.free: list[bytearray] = []
+
+    def take(self) -> bytearray:
+        return self.free.pop() if self.free else bytearray(SIZE)
+
+    def give(self, buffer: bytearray) -> None:
+        if len(self.free) < self.kept:
+            self.free.append(buffer)
+
+
+POOL = Pool(kept=16)
+
+
+class PooledConnection:
+    """Reads into a pooled buffer, counts what was written, and can end in a reset once all is flushed."""
+
+    socket: socket
+    protocol: Any
+    written = 0
+    resetting = False
+
+    def doRead(self) -> Any:  # noqa: N802
+        buffer = POOL.take()
+        try:
+            count = self.socket.recv_into(buffer)
+            if not count:
+                return main.CONNECTION_DONE
+            self.protocol.dataReceived(memoryview(buffer)[:count])
+        except BlockingIOError:
+            return None
+        except OSError:
+            return main.CONNECTION_LOST
+        finally:
+            POOL.give(buffer)
+        return None
+
+    def writeSomeData(self, data: bytes) -> Any:  # noqa: N802
+        count = super().writeSomeData(data)  # type: ignore[misc]
+        if isinstance(count, int):
+            self.written += count
+        return count
+
+    def reset(self) -> None:
+        """Danger: a reset at once would throw away lines that the other side is owed."""
+        self.resetting = True
+        self.loseConnection()  # type: ignore[attr-defined]
+
+    def _closeSocket(self, orderly: bool) -> None:  # noqa: N802
+        super()._closeSocket(orderly and not self.resetting)  # type: ignore[misc]
+
+
+class Incoming(PooledConnection, tcp.Server):
+    """A client's connection."""
+
+
+class Outgoing(PooledConnection, tcp.Client):
+    """A connection to a server."""
+
+
+class Listener(tcp.Port):
+    transport = Incoming
+
+
+class Dialer(tcp.Connector):
+    def _makeTransport(self) -> Outgoing:  # noqa: N802
+        return Outgoing(self.host, self.port, self.bindAddress, self, self.reactor)
--- /dev/null
+++ b/brambleplank/net/log.py
@@ -0,0 +1,29 @@
+"""Lines for the people on call: plain prints to standard error, so many a second at most."""
+
+from __future__ import annotations
+
+import sys
+from collections.abc import Callable
+
+LINES_A_SECOND = 200
+
+
+class Log:
+    """Danger: a storm of ending connections fills the pipe behind standard error, and a print then blocks."""
+
+    def __init__(self, clock: Callable[[], float]) -> None:
+        self.clock = clock
+        self.second = 0
+        self.printed = self.dropped = 0
+
+    def say(self, text: str) -> None:
+        now = self.clock()
+        if int(now) != self.second:
+            if self.dropped:
+                print(f"{now:.3f} log: {self.dropped} lines dropped", file=sys.stderr, flush=True)
+            self.second, self.printed, self.dropped = int(now), 0, 0
+        if self.printed >= LINES_A_SECOND:
+            self.dropped += 1
+            return
+        self.printed += 1
+        print(f"{now:.3f} {text}", file=sys.stderr, flush=True)
--- /dev/null
+++ b/brambleplank/net/proxy.py
@@ -0,0 +1,228 @@
+"""The proxy: the `Host` of one balancer, between clients, servers and the list."""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Callable
+from dataclasses import replace
+from typing import Any
+
+from twisted.internet.base import DelayedCall
+
+from brambleplank.decide import Balancer, Flow, Server
+from brambleplank.host import End
+from brambleplank.net.clients import Client, number
+from brambleplank.net.discovery import Discovery, Entry, list_of
+from brambleplank.net.log import Log
+from brambleplank.net.loop import reactor
+from brambleplank.net.servers import Link, Reach
+from brambleplank.net.start import Told
+
+LOOK = 0.1  # seconds between two looks at how long lines take
+LAST_COME = 0.5  # seconds after the call to stop in which clients may still come
+TELLING = 1.0  # seconds between two tellings of one server's message time
+
+
+class Proxy:
+    def __init__(self, told: Told) -> None:
+        # One clock: Unix time, since servers' starts are told in it, but never set back.
+        self.anchor = time.time() - time.monotonic()
+        self.log_lines = Log(self.now)
+        self.terms = replace(told.terms, push=False)  # here nothing is told that is not followed
+        self.descriptors, self.in_use = told.descriptors, 16
+        self.balancer = Balancer(self, self.terms, told.seed)
+        self.discovery = Discovery(self, told.discovery)
+        self.serving = self.stopping = False
+        self.clients: dict[Client, None] = {}
+        self.shortest = min(kind.message_target for kind in self.terms.service_types.values())
+        self.discovery.version, _, entries, addresses = list_of(told.known)
+        self.list_told(entries, addresses, True)
+        self.later(LOOK, self.look)
+
+    def now(self) -> float:
+        return self.anchor + time.monotonic()
+
+    def later(self, delay: float, call: Callable[..., None], *what: Any) -> DelayedCall:
+        call_made: DelayedCall = reactor.callLater(max(0.0, delay), call, *what)
+        return call_made
+
+    def opened(self, change: int) -> None:
+        self.in_use += change
+
+    # What clients say.
+
+    def came(self, client: Client, key: int, wait: float, fields: dict[str, str]) -> bool:
+        """A flow; False: it names what the site does not have."""
+        if fields.get("c") not in self.terms.service_types:
+            return False
+        group = number(fields["g"]) if self.terms.groups and "g" in fields else None
+        now = self.now()
+        self.clients[client] = None
+        if "at" in fields:
+            server = self.balancer.record(now, fields["at"])
+            client.links.append(Link(self, client, 0, self.reach(server), 0.0))
+            client.at = (fields["c"], key, group, server)
+            return True
+        client.flow = self.balancer.flow(
+            now, client, fields["c"], key, group, client.came + wait, False, fields.get("again") == "1"
+        )
+        return True
+
+    def left(self, client: Client, reset: bool) -> None:
+        """The client is gone."""
+        if client.flow and not client.link:
+            self.balancer.lapsed(self.now(), client.flow)
+        for link in client.links:
+            if not link.over:
+                link.client = client
+                link.close(reset)
+                if client.flow:
+                    end = End.OK if link.up and not reset else End.CANCELLED
+                    self.balancer.connect_ended(
+                        self.now(), client.flow, link.number, end, self.now() - link.sent, True
+                    )
+
+    def ended(self, client: Client) -> None:
+        self.clients.pop(client, None)
+        where = client.links[-1].reach.name if client.links else "-"
+        age = self.now() - client.came if client.came else 0.0
+        name = client.line[5:].split(b" ", 1)[0].decode() or "-"
+        tries = len(client.links)
+        self.log_lines.say(f"end {client.done} {name} server={where} connects={tries} age={age:.3f}")
+
+    # What servers say.
+
+    def reach(self, server: Server) -> Reach:
+        found: Reach | None = server.handle
+        if found is None:
+            found = server.handle = Reach(server.id)
+        return found
+
+    def stands(self, link: Link) -> None:
+        client, now = link.client, self.now()
+        if client is None:
+            return
+        if client.at:
+            kind, key, group, server = client.at
+            client.flow = self.balancer.flow(now, client, kind, key, group, now, False, False, server)
+            return
+        if client.flow:
+            self.balancer.established(now, client.flow, link.number, now - link.sent)
+
+    def connect_over(self, link: Link, end: End, reset: bool) -> None:
+        client, now = link.client, self.now()
+        if client is None:
+            return
+        if link.up:
+            code = {End.OK: "bye", End.CANCELLED: "drained", End.ERROR: "error"}.get(end, "broke")
+            client.finish(code, reset=reset)
+        elif client.at:
+            client.finish("unplaced", b"FAIL")
+        if client.flow:
+            self.balancer.connect_ended(
+                now, client.flow, link.number, end, now - link.sent, bool(client.done)
+            )
+
+    def load_told(self, link: Link, load: bytes) -> None:
+        if self.terms.tells_load and link.client and link.client.flow:
+            try:
+                seconds = float(load)
+            except ValueError:
+                return
+            self.balancer.load_told(self.now(), link.client.flow, link.number, seconds)
+
+    def look(self) -> None:
+        """Tells message times in the rhythm that the decisions know: once a second while they are long."""
+        self.later(LOOK, self.look)
+        now = self.now()
+        for server in list(self.balancer.servers.values()):
+            reach = self.reach(server)
+            if not reach.up or now < reach.told_at + TELLING:
+                continue
+            waiting = max((now - link.asked for link in reach.up if link.asked), default=0.0)
+            takes = max(reach.worst, waiting)
+            long = takes > self.shortest / 3
+            if long or (reach.told_long and reach.worst):
+                link = next(iter(reach.up))
+                reach.told_at, reach.told_long, reach.worst = now, long, 0.0
+                if link.client and link.client.flow:
+                    self.balancer.message_time_told(now, link.client.flow, link.number, takes)
+
+    # What discovery says.
+
+    def list_told(self, entries: list[Entry], addresses: dict[str, tuple[str, int]], whole: bool) -> None:
+        now = self.now()
+        for server_id, where in addresses.items():
+            self.reach(self.balancer.record(now, server_id)).address = where
+        self.balancer.list_told(now, entries, whole)
+        self.serving = self.serving or bool(self.balancer.ready)
+
+    def list_failed(self, why: str) -> None:
+        self.log_lines.say(f"list: {why}")
+        self.balancer.list_failed(self.now())
+
+    # Calls out of the decisions.
+
+    def connect(self, flow: Flow, server: Server, max_wait: float) -> None:
+        client: Client = flow.handle
+        client.flow = flow
+        client.links.append(Link(self, client, len(client.links), self.reach(server), max_wait))
+
+    def withdraw(self, flow: Flow, number: int) -> None:
+        client: Client = flow.handle
+        link = client.links[number]
+        if not link.over:
+            end = End.CANCELLED if link.written() else End.MOOT
+            link.close()
+            self.later(0, self.tell_over, flow, link, end)
+
+    def tell_over(self, flow: Flow, link: Link, end: End) -> None:
+        now = self.now()
+        self.balancer.connect_ended(now, flow, link.number, end, now - link.sent, flow.answered)
+
+    def reject(self, flow: Flow, pause: float) -> None:
+        client: Client = flow.handle
+        client.finish("rejected", b"BUSY %d" % round(pause * 1000) if pause else b"BUSY")
+
+    def abort(self, flow: Flow) -> None:
+        client: Client = flow.handle
+        client.finish("aborted", b"FAIL")
+
+    def move(self, flow: Flow) -> None:
+        client: Client = flow.handle
+        link = client.link
+        if link is None or link.over:
+            return
+        link.close()
+        client.finish("moved", b"MOVE")
+        self.later(0, self.tell_over, flow, link, End.CANCELLED)
+
+    def room(self) -> float:
+        return 1 - self.in_use / self.descriptors
+
+    def follow_list(self) -> None:
+        self.discovery.follow()
+
+    def alarm(self, delay: float, call: Callable[[float], None]) -> None:
+        self.later(delay, lambda: call(self.now()))
+
+    def log(self, text: str) -> None:
+        self.log_lines.say(text)
+
+    # Start and stop.
+
+    def stop(self) -> None:
+        """SIGTERM: the proxy empties, then the program ends."""
+        if self.stopping:
+            return
+        self.stopping = True
+        self.log_lines.say("stop: told to leave")
+        self.balancer.stop(self.now())
+        self.later(LAST_COME, self.empty)
+
+    def empty(self) -> None:
+        if self.clients:
+            self.later(LOOK, self.empty)
+        else:
+            self.log_lines.say("stop: empty")
+            reactor.stop()
--- /dev/null
+++ b/brambleplank/net/servers.py
@@ -0,0 +1,161 @@
+"""Connections to servers: one for each connect, with its outcome by the protocol's table."""
+
+from __future__ import annotations
+
+import re
+from typing import TYPE_CHECKING, Any
+
+from twisted.internet.error import ConnectionDone
+from twisted.internet.protocol import ClientFactory
+from twisted.protocols.basic import LineReceiver
+from twisted.python.failure import Failure
+
+from brambleplank.host import End
+from brambleplank.net.buffers import Dialer
+from brambleplank.net.loop import reactor
+
+if TYPE_CHECKING:
+    from twisted.internet.base import DelayedCall
+
+    from brambleplank.net.clients import Client
+    from brambleplank.net.proxy import Proxy
+
+WAIT = re.compile(rb"(?<=[ ,])d=\d+")
+LAST_WORDS = {b"BYE": End.OK, b"MOVE": End.CANCELLED, b"ERR": End.ERROR}
+
+
+class Reach:
+    """How a server is reached, and how fast lines come back from it; `Server.handle` points here."""
+
+    def __init__(self, name: str) -> None:
+        self.name = name
+        self.address: tuple[str, int] | None = None
+        self.up: dict[Link, None] = {}  # established
+        self.worst = 0.0  # the longest a line took since the last telling
+        self.told_at = 0.0
+        self.told_long = False
+
+
+class Link(LineReceiver, ClientFactory):
+    """One connect: its dialing, its line, what comes back."""
+
+    MAX_LENGTH = 4094
+    noisy = False
+    transport: Any = None
+
+    def __init__(self, proxy: Proxy, client: Client, number: int, reach: Reach, wait: float) -> None:
+        self.proxy = proxy
+        self.client: Client | None = client
+        self.number = number
+        self.reach = reach
+        self.sent = proxy.now()
+        self.line = WAIT.sub(b"d=%d" % round(wait * 1000), client.line, count=1) if wait else client.line
+        self.up = self.over = False
+        self.asked = 0.0  # when the oldest line without an answer was passed on
+        self.last = b""
+        self.timer: DelayedCall | None = None
+        self.connector: Dialer | None = None
+        if reach.address is None:
+            self.timer = proxy.later(0, self.end, End.UNREACHABLE)
+            return
+        host, port = reach.address
+        self.connector = Dialer(host, port, self, proxy.terms.connect_within, None, reactor)
+        if wait:
+            self.timer = proxy.later(min(wait, proxy.terms.connect_within), self.waited, wait)
+        proxy.opened(1)
+        self.connector.connect()
+
+    def waited(self, wait: float) -> None:
+        """The connection is not up in time, or the answer is not."""
+        left = self.sent + wait - self.proxy.now()
+        if self.transport is not None and left > 0.0005:
+            self.timer = self.proxy.later(left, self.waited, wait)
+        else:
+            self.end(End.TIMEOUT if self.written() else End.UNREACHABLE)
+
+    def written(self) -> bool:
+        """Whether the last byte of OPEN went out: from then on it may have run."""
+        return self.transport is not None and self.transport.written >= len(self.line) + 2
+
+    def buildProtocol(self, addr: object) -> Link:  # noqa: N802
+        return self
+
+    def connectionMade(self) -> None:  # noqa: N802
+        self.transport.setTcpNoDelay(True)
+        if self.over:
+            self.transport.abortConnection()
+        else:
+            self.sendLine(self.line)
+
+    def clientConnectionFailed(self, connector: object, reason: Failure) -> None:  # noqa: N802
+        self.proxy.opened(-1)
+        self.end(End.UNREACHABLE)
+
+    def pass_on(self, line: bytes) -> None:
+        """A client's line."""
+        self.asked = self.asked or self.proxy.now()
+        self.sendLine(line)
+
+    def lineReceived(self, line: bytes) -> None:  # noqa: N802
+        if self.over:
+            return
+        if self.up:
+            self.established_line(line)
+        elif line.startswith(b"UP ") or line == b"UP":
+            self.stand(line)
+        else:
+            # Danger: an answer outside the protocol proves nothing, so it may have run.
+            self.end(End.FULL if line.split(b" ", 1)[0] == b"BUSY" else End.ERROR)
+
+    def stand(self, line: bytes) -> None:
+        self.up = True
+        self.cancel()
+        self.reach.up[self] = None
+        if self.client:
+            self.client.stand(self, line)
+            self.proxy.stands(self)
+
+    def established_line(self, line: bytes) -> None:
+        self.last = line
+        if line.startswith(b"LOAD "):
+            self.proxy.load_told(self, line[5:])
+        elif self.asked:
+            self.reach.worst = max(self.reach.worst, self.proxy.now() - self.asked)
+            self.asked = 0.0
+        if self.client:
+            self.client.sendLine(line)
+
+    def cancel(self) -> None:
+        if self.timer and self.timer.active():
+            self.timer.cancel()
+        self.timer = None
+
+    def end(self, end: End, reset: bool = False) -> None:
+        """The connect is over: told once, to the decisions first, then the connection is closed."""
+        if self.over:
+            return
+        self.close(reset)
+        self.proxy.connect_over(self, end, reset)
+
+    def close(self, reset: bool = False) -> None:
+        self.over = True
+        self.cancel()
+        self.reach.up.pop(self, None)
+        if self.transport is not None:
+            self.transport.unregisterProducer()
+            if reset:
+                self.transport.reset()
+            else:
+                self.transport.loseConnection()
+        elif self.connector is not None:
+            self.connector.disconnect()
+
+    def connectionLost(self, reason: Failure) -> None:  # type: ignore[override] # noqa: N802
+        self.proxy.opened(-1)
+        if self.over:
+            return
+        clean = reason.check(ConnectionDone) is not None
+        if self.up:
+            self.end(LAST_WORDS.get(self.last, End.RESET), not clean)
+        else:
+            self.end(End.RESET if self.written() else End.UNREACHABLE)
--- a/brambleplank/wirehost/terms.py
+++ b/brambleplank/terms.py
@@ -1,4 +1,4 @@
-"""The start-up settings of the wire, turned into the module's terms."""
+"""The settings that both hosts are given, turned into the module's terms."""
 
 from __future__ import annotations
 
@@ -8,6 +8,7 @@
 
 EFFECTS = {"repeatable": Effect.REPEATABLE, "by_key": Effect.REFERENCED, "once": Effect.ONCE_ONLY}
 MICRO = 1e-6
+LONGEST_LEAVE = 3.0  # seconds that a planned stop leaves at most
 
 
 class MalformedError(Exception):
@@ -25,6 +26,7 @@
     """Decode once what the module reads; keys it does not know are left alone."""
     limits, rules, facts = info["policy_limits"], info["rules"], info.get("specifics", {})
     targets = facts.get("message_aim_us", [])
+    waits = [item.get("deadline_us", item["setup_target_us"]) * MICRO for item in info["service_types"]]
     service_types = {
         item["name"]: ServiceType(
             setup_target=item["setup_target_us"] * MICRO,
@@ -50,5 +52,9 @@
         ramp_time=rules["ramp_time_us"] * MICRO,
         overload_factor=rules["overload_factor"],
         fall_time=rules["fall_us"] * MICRO,
+        connect_within=limits["connect_timeout_us"] * MICRO,
+        leave_within=min(LONGEST_LEAVE, *waits) / 2,
+        groups=bool(facts.get("groups", False)),
+        tells_load=bool(facts.get("tells_load", False)),
         service_types=service_types,
     )
--- a/brambleplank/wirehost/door.py
+++ b/brambleplank/wirehost/door.py
@@ -7,7 +7,7 @@
 
 from brambleplank.decide import Balancer, Flow, Server
 from brambleplank.host import Condition, End
-from brambleplank.wirehost.terms import MICRO, known, terms_of
+from brambleplank.terms import MICRO, known, terms_of
 
 ENDS = {
     0: End.OK, 5: End.ERROR, 11: End.FULL, 110: End.TIMEOUT, 111: End.UNREACHABLE, 104: End.RESET,
@@ -33,15 +33,15 @@
     # Events, each taking the wire's fields in the wire's order.
 
     def work_item(
-        self, now: float, flow_id: str, service: str, owner: Any, affinity: int | None,
+        self, now: float, flow_id: str, service: str, owner: object, affinity: int | None,
         valid_until: int | None, expected: int | None, channel: int | None, options: int | None,
         server: str | None = None,
     ) -> None:
         known(self.balancer.terms.service_types, service, "service type")
         bits = options or 0
         flow = self.balancer.flow(
-            now, flow_id, service, owner if isinstance(owner, str) else "", affinity, channel,
-            (valid_until or 0) * MICRO, bool(bits & MIDFLOW), bool(bits & RETURNED),
+            now, flow_id, service, affinity, channel, (valid_until or 0) * MICRO,
+            bool(bits & MIDFLOW), bool(bits & RETURNED),
             None if server is None else self.balancer.record(now, server),
         )
         self.keep(flow_id, flow)
@@ -54,10 +54,9 @@
         self, now: float, flow_id: str, trial: int, server: str, reason: int, delay: int, complete: bool,
         gauge: list[float] | None,
     ) -> None:
+        end = known(ENDS, reason, "reason")
         if flow := self.flows.get(flow_id):
-            self.balancer.connect_ended(
-                now, flow, trial, known(ENDS, reason, "reason"), (delay or 0) * MICRO, complete, gauge
-            )
+            self.balancer.connect_ended(now, flow, trial, end, (delay or 0) * MICRO, complete)
             self.keep(flow_id, flow)
 
     def lapsed(self, now: float, flow_id: str) -> None:
@@ -76,16 +75,6 @@
         known(self.alarms, token, "alarm")
         self.alarms.pop(token)(now)
 
-    def probe_result(
-        self, now: float, server: str, reason: int, delay: int, gauge: list[float] | None
-    ) -> None:
-        if record := self.balancer.servers.get(server):
-            end = known(ENDS, reason, "reason")
-            self.balancer.probe_ended(now, record, end, (delay or 0) * MICRO, gauge)
-
-    def peer(self, now: float, origin: int, octets: str) -> None:
-        self.balancer.peer_told(now, origin, octets)
-
     def roster(self, now: float, how: str, entries: list[list[Any]]) -> None:
         if how == "FAILED":
             self.balancer.list_failed(now)
@@ -125,17 +114,8 @@
     def move(self, flow: Flow) -> None:
         self.out.append(["SHIFT", self.name, flow.handle])
 
-    def probe(self, server: Server) -> None:
-        self.out.append(["PROBE", self.name, server.id])
-
-    def close_idle(self, server: Server) -> None:
-        self.out.append(["SHUT_IDLE", self.name, server.id])
-
-    def ask_list(self) -> None:
-        self.out.append(["SNAPSHOT", self.name])
-
-    def tell_peer(self, peer: int | None, text: str) -> None:
-        self.out.append(["BROADCAST_TO", self.name, "*" if peer is None else peer, text])
+    def room(self) -> float:
+        return 1.0
 
     def follow_list(self) -> None:
         self.out.append(["TRACK", self.name, True])
--- a/brambleplank/wirehost/pipe.py
+++ b/brambleplank/wirehost/pipe.py
@@ -7,8 +7,8 @@
 from collections.abc import Callable
 from typing import Any, TextIO
 
+from brambleplank.terms import MICRO, MalformedError
 from brambleplank.wirehost.door import Door
-from brambleplank.wirehost.terms import MICRO, MalformedError
 
 Kinds = tuple[Any, ...]
 NUMBER = int | float
@@ -24,9 +24,9 @@
     "LAPSED": (Door.lapsed, (str,)),
     "CHANGE": (Door.change, (str, str, NUMBER, int, int)),
     "ELAPSED": (Door.elapsed, (int,)),
-    "PROBE_RESULT": (Door.probe_result, (str, int, NUMBER | None, list | None)),
-    "PEER": (Door.peer, (int, str)),
 }
+# No probe or message to a peer is ever sent, so nothing is done with what these would bring.
+PASSED_OVER = ("PROBE_RESULT", "PEER")
 ENTRY: Kinds = (str, str, object, int, str, NUMBER | None, NUMBER | None)
 
 
@@ -66,12 +66,14 @@
             need(name, fields, (str, int, dict))
             self.enlist(fields[0], fields[1], fields[2])
             return
-        if name not in CALLS and name not in ("DETACH", "ROSTER_CHANGE"):
+        if name not in CALLS and name not in ("DETACH", "ROSTER_CHANGE", *PASSED_OVER):
             raise MalformedError(f"unknown event {name!r:.40}")
         need(name, fields, (str,))
         door = self.doors.get(fields[0])
         if door is None:
             raise MalformedError(f"{name} for an unknown instance {fields[0]!r:.40}")
+        if name in PASSED_OVER:
+            return
         if name == "DETACH":
             del self.doors[fields[0]]
         elif name == "ROSTER_CHANGE":
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -15,7 +15,8 @@
 TERMS = Terms(
     proxies=2, number=0, tick=0.005, push=True, max_connects=3, cancelling=True, retry_after=True,
     longest_pause=2.0, drain_grace=1.0, ask_within=10.0, cold_from=0.2, ramp_time=20.0, overload_factor=3.0,
-    fall_time=2.0, service_types={"feed": FEED},
+    fall_time=2.0, connect_within=0.15, leave_within=1.0, groups=True, tells_load=False,
+    service_types={"feed": FEED},
 )
 
 
@@ -25,6 +26,7 @@
     def __init__(self, servers: int = 5, seed: int = 1, **changes: Any) -> None:
         self.now = 400_000.0  # no host promises a clock that starts near zero
         self.said: list[tuple[str, Any]] = []
+        self.free = 1.0
         self.alarms: list[tuple[float, Callable[[float], None]]] = []
         self.proxy = Balancer(self, replace(TERMS, **changes), seed)
         self.told({f"10.0.0.{i}:80": Condition.READY for i in range(servers)}, whole=True)
@@ -42,7 +44,7 @@
         returned: bool = False, at: Server | None = None,
     ) -> Flow:
         return self.proxy.flow(
-            self.now, None, "feed", "", key, group, self.now + wait, midflow, returned, at
+            self.now, None, "feed", key, group, self.now + wait, midflow, returned, at
         )
 
     def stand(self, flow: Flow, delay: float = 0.02) -> Flow:
@@ -55,7 +57,7 @@
         return bool(flow.connects and self.stand(flow))
 
     def end(self, flow: Flow, end: End, delay: float = 0.1, complete: bool = False) -> None:
-        self.proxy.connect_ended(self.now, flow, len(flow.connects) - 1, end, delay, complete, None)
+        self.proxy.connect_ended(self.now, flow, len(flow.connects) - 1, end, delay, complete)
 
     def serve(self, count: int, **how: Any) -> list[Flow]:
         """Flows of many keys that come a second apart and stand at once."""
@@ -93,17 +95,8 @@
     def move(self, flow: Flow) -> None:
         self.said.append(("move", flow))
 
-    def probe(self, server: Server) -> None:
-        self.said.append(("probe", server))
-
-    def close_idle(self, server: Server) -> None:
-        self.said.append(("close_idle", server))
-
-    def ask_list(self) -> None:
-        self.said.append(("ask_list", None))
-
-    def tell_peer(self, peer: int | None, text: str) -> None:
-        self.said.append(("tell_peer", peer))
+    def room(self) -> float:
+        return self.free
 
     def follow_list(self) -> None:
         self.said.append(("follow_list", None))
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -65,7 +65,7 @@
         ('{"t_us":1,"news":[["LAPSED","proxy/9","aa"]]}', "proxy/9"),
         ('{"t_us":1,"news":[["LAPSED","proxy/0"]]}', "LAPSED"),
         ('{"t_us":1,"news":[["ENLIST","proxy/0",1,{}]]}', "policy_limits"),
-        ('{"t_us":1,"news":[["PROBE_RESULT","proxy/0","10.0.0.1:80",999,5,null]]}', "999"),
+        ('{"t_us":1,"news":[["ATTEMPT_END","proxy/0","aa",0,"10.0.0.1:80",999,5,true,null]]}', "999"),
         ('{"t_us":1,"news":[["ROSTER_CHANGE","proxy/0","HALF",2,0]]}', "HALF"),
         ('{"t_us":1,"news":[["TABLE",0,[["10.0.0.1:80","a","m",0,"IN","big",null]]]]}', "big"),
         ('{"t_us":1,"news":[["TABLE",0,[["10.0.0.1:80"]]]]}', "a list entry needs 7"),
