--- a/brambleplank/decide.py
+++ b/brambleplank/decide.py
@@ -5,10 +5,9 @@
 
 A flow runs down a chain of small stages: `Promise` (one final answer in time), `Ring` (whom it belongs to,
 and who is passed over), `Gate` (how many connects may be out), `Launch` (the connect and how long to wait).
-The stages between have a say about single servers: one `forbids` a server where a rule is at stake, or
-`avoids` it on evidence, by degrees; the ring takes the first with nothing against it, else the least avoided,
-and rejects where only harm is left. What comes back runs up the chain. The ring is that of the DTS paper, see
-`docs/design.md`, which also says when each exception acts.
+Those between forbid servers where a rule is at stake, or avoid them on evidence, by degrees; the ring takes
+the first with nothing against it, else the least avoided, and rejects where only harm is left. What comes
+back runs up the chain. The ring is that of the DTS paper; `docs/design.md` says when each exception acts.
 """
 
 from __future__ import annotations
@@ -63,7 +62,7 @@
         self.trickle = 0  # connects at once that a server set aside may have; 0: it is not set aside
         self.pause = self.retry_at = 0.0
         self.recent, self.recent_at = 0.0, 0.0  # connects there, fading, and when last counted
-        self.slow_until = self.late_until = self.dropping_until = 0.0
+        self.slow_until = self.late_until = self.dropping_until = self.probed_at = 0.0
         self.cold_turn, self.cold_sent = -1.0, 0  # this proxy's latest turn while cold, its connects in it
 
 
@@ -79,10 +78,9 @@
     """A client's connection, from its arrival to its end."""
 
     def __init__(
-        self, handle: Any, service_type: ServiceType, spot: int, give_up_at: float, midflow: bool,
-        returned: bool,
+        self, handle: Any, kind: ServiceType, spot: int, give_up_at: float, midflow: bool, returned: bool
     ) -> None:
-        self.handle, self.service_type, self.spot = handle, service_type, spot
+        self.handle, self.service_type, self.spot = handle, kind, spot
         self.give_up_at, self.midflow, self.returned = give_up_at, midflow, returned
         self.connects: list[Connect] = []
         self.target: Server  # where the ring places it
@@ -229,14 +227,12 @@
             self.set_aside(now, server, "silent")
 
     def set_aside(self, now: float, server: Server, why: str) -> None:
-        ready = self.balancer.ready
-        if server.trickle == 0 and 2 * sum(s.trickle > 0 for s in ready) >= len(ready):
+        first, ready = server.trickle == 0, self.balancer.ready
+        if first and 2 * sum(s.trickle > 0 for s in ready) >= len(ready):
             return  # Danger: if most look ill the cause is shared, and setting all aside helps nobody.
-        first = server.trickle == 0
         server.pause = self.balancer.floor * 4 if first else min(2 * server.pause, self.terms.ramp_time)
-        server.trickle = 1
+        server.trickle, server.silence = 1, 0.0
         server.retry_at = now + server.pause * self.balancer.rng.uniform(0.75, 1.25)
-        server.silence = 0.0
         if first:
             self.balancer.host.log(f"{server.id} set aside: {why}")
 
@@ -257,12 +253,9 @@
             return
         if self.balancer.gate.window < inf and end in (End.ERROR, End.TIMEOUT):
             return  # what is shared fails; the server is not to blame
-        if end is End.TIMEOUT:
-            server.silence += delay
-            if server.trickle:
-                self.set_aside(now, server, "silent")
-            else:
-                self.watch(now, server)
+        server.silence += delay if end is End.TIMEOUT else 0.0
+        if end is End.TIMEOUT and not server.trickle:
+            self.watch(now, server)
         else:
             self.set_aside(now, server, end.value)
 
@@ -273,16 +266,12 @@
     Danger: its clients come again at once, the ring places them there, they are dropped again, and so on.
     """
 
-    def __init__(self, balancer: Balancer) -> None:
-        super().__init__(balancer)
-        self.looked, self.is_short = 0.0, False
+    looked, is_short = 0.0, False
 
     def avoids(self, now: float, flow: Flow, server: Server) -> int:
         if flow.midflow:
             return 0
-        if now < server.dropping_until:
-            return HARMFUL
-        if now < server.late_until and self.short(now):
+        if now < server.dropping_until or (now < server.late_until and self.short(now)):
             return HARMFUL
         if now < server.slow_until or server.held or not flow.returned:
             return SLOW if now < server.slow_until else 0
@@ -328,14 +317,12 @@
         Danger: a server with too much stays slow for as long as its connections live. A small group takes
         with it the work it shares; one member of a large group would only double that work.
         """
-        if not server.groups:
-            return
+        if not server.groups or (self.short(now) and lateness <= 1):
+            return  # Danger: a fleet short of room only chases its groups from server to server.
         smallest = min(server.groups, key=lambda spot: (len(server.groups[spot]), spot))
         flows = list(server.groups[smallest])
         if len(flows) > self.balancer.mean() / 2 + 1:
             flows = flows[-1:] if lateness > 1 else []
-        if self.short(now) and lateness <= 1:
-            return  # Danger: a fleet short of room only chases its groups from server to server.
         if self.balancer.rng.random() * len(flows) > RELIEF * min(1.0, lateness) * server.held:
             return  # Danger: hundreds of proxies with a connection each there empty it in one second.
         for flow in flows:
@@ -441,10 +428,8 @@
     connected again, its client comes again, and the repeats keep it late long after the cause has gone.
     """
 
-    def __init__(self, balancer: Balancer) -> None:
-        super().__init__(balancer)
-        self.out, self.failing = 0, 0.0  # connects out; share of them that failed lately
-        self.window = inf  # connects that may be out; without bound in good times
+    out, failing = 0, 0.0  # connects out; share of them that failed lately
+    window = inf  # connects that may be out; without bound in good times
 
     def onward(self, now: float, flow: Flow) -> bool:
         if self.out + self.balancer.rng.random() >= self.window and (flow.connects or not flow.midflow):
@@ -479,13 +464,12 @@
     """Makes the connect, and says how long to wait for it."""
 
     def onward(self, now: float, flow: Flow) -> bool:
-        server = flow.target
-        connect = Connect(flow, server, now)
+        connect = Connect(flow, flow.target, now)
         flow.connects.append(connect)
         flow.may_have_run = flow.may_have_run or connect
-        server.waiting[connect] = None
-        self.balancer.hold(server, 1)
-        self.balancer.host.connect(flow, server, self.wait(now, flow))
+        connect.server.waiting[connect] = None
+        self.balancer.hold(connect.server, 1)
+        self.balancer.host.connect(flow, connect.server, self.wait(now, flow))
         return True
 
     def wait(self, now: float, flow: Flow) -> float:
@@ -567,15 +551,25 @@
         """Danger: servers that have just joined look like room, and the others too full beside them."""
         self.able = [s for s in self.ready if not self.cold.cold(now, s)] or self.ready
 
+    def measure(self, now: float) -> None:
+        """Probes this zone's servers; from afar a probe's delay says more of the way than of the server.
+
+        Danger: where nobody tells how long messages take, a server with too much looks like any other.
+        """
+        for server in self.ready:
+            due = NEWS_PERIOD if now < server.slow_until else 3 * NEWS_PERIOD
+            if server.zone == self.terms.zone and now >= server.probed_at + due:
+                server.probed_at = now
+                self.host.probe(server)
+        self.host.alarm(NEWS_PERIOD, self.measure)
+
     def served_rate(self, now: float) -> float:
         """Connections a second that ended well lately: what the servers carry, whatever storms arrive."""
         span, watched = self.terms.ramp_time, max(now - self.begun, self.terms.fall_time)
         return self.served * exp((self.served_at - now) / span) / (span * (1 - exp(-watched / span)))
 
     def place(self, now: float, flow: Flow) -> None:
-        for stage in self.chain:
-            if not stage.onward(now, flow):
-                return
+        all(stage.onward(now, flow) for stage in self.chain)  # up to the one that keeps or ends it
 
     def give_up(self, flow: Flow) -> None:
         """The final answer for a flow that no connect will serve; a reject wherever the rules allow one."""
@@ -650,8 +644,16 @@
     def lapsed(self, now: float, flow: Flow) -> None:
         flow.answered = True
 
-    def message_time_told(self, now: float, flow: Flow, number: int, seconds: float) -> None:
-        self.strain.slow(now, flow.connects[number].server, seconds)
+    def message_time_told(self, now: float, server: Server, seconds: float, measured: bool = False) -> None:
+        self.strain.slow(now, server, seconds)
+        if measured and self.terms.peers:
+            self.host.tell_peers(server, seconds)
+
+    def silent(self, now: float, flow: Flow, seconds: float) -> None:
+        # Danger: a dead machine says nothing; its clients wait there for as long as their connections stand.
+        if seconds > self.terms.silence_within:
+            flow.connects[-1].server.dropping_until = now + self.terms.fall_time
+            self.send_off(flow)
 
     def load_told(self, now: float, flow: Flow, number: int, load: float) -> None:
         """Not used: moving the heaviest first did worse than the latest."""
@@ -661,15 +663,15 @@
     ) -> None:
         if self.begun < 0:
             self.begun = self.served_at = now
+            if self.terms.measures:
+                self.host.alarm(NEWS_PERIOD, self.measure)
             if not self.terms.push:
                 self.host.follow_list()
         else:
             self.failures = 0
-        if whole:
-            named = {entry[0] for entry in entries}
-            for server in self.servers.values():
-                if server.id not in named:
-                    self.turn(now, server, Condition.GONE)
+        named = {entry[0] for entry in entries}
+        for server in [s for s in self.servers.values() if whole and s.id not in named]:
+            self.turn(now, server, Condition.GONE)
         for server_id, zone, cell, condition, size, started in entries:
             server = self.record(now, server_id)
             server.zone, server.cell, server.size = zone, cell, size
--- a/brambleplank/host.py
+++ b/brambleplank/host.py
@@ -77,6 +77,10 @@
     fall_time: float
     connect_within: float  # a connection that is not up by then never comes up
     leave_within: float  # from a planned stop on, the time to move what stands
+    silence_within: float  # a connection that brings nothing back for so long is given up
+    zone: str  # this proxy's own
+    measures: bool  # whether message times are to be had by probes, as nobody tells them
+    peers: bool  # whether proxies may speak to one another
     groups: bool  # whether a flow names the group that it shares work with
     tells_load: bool
     service_types: dict[str, ServiceType]
@@ -103,6 +107,12 @@
     def follow_list(self) -> None:
         """Subscribe to the list of servers, missed changes first."""
 
+    def probe(self, server: Server) -> None:
+        """Measure by a probe how long messages take there; the answer is `message_time_told`."""
+
+    def tell_peers(self, server: Server, seconds: float) -> None:
+        """Tell all other proxies how long messages take at a server."""
+
     def room(self) -> float:
         """The share of this proxy's descriptors that is free; 1 where none are counted."""
 
@@ -139,8 +149,14 @@
     def load_told(self, now: float, flow: Flow, number: int, load: float) -> None:
         """The connection's load now, in seconds of work a second."""
 
-    def message_time_told(self, now: float, flow: Flow, number: int, seconds: float) -> None:
-        """How long a message takes now at the server of that connect."""
+    def message_time_told(self, now: float, server: Server, seconds: float, measured: bool = False) -> None:
+        """How long a message takes now at a server: told by it or another proxy, or measured here.
+
+        While it is long, about once a second; and once when it no longer is.
+        """
+
+    def silent(self, now: float, flow: Flow, seconds: float) -> None:
+        """So long has an established connection brought nothing back for a line that went out."""
 
     def stop(self, now: float) -> None:
         """A planned stop is near: empty this proxy."""
--- /dev/null
+++ b/brambleplank/net/peers.py
@@ -0,0 +1,37 @@
+"""Datagrams between the proxies: a server's id and how long messages take there."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any
+
+from twisted.internet.protocol import DatagramProtocol
+
+if TYPE_CHECKING:
+    from brambleplank.net.proxy import Proxy
+
+LONGEST = 256
+
+
+class Peers(DatagramProtocol):
+    noisy = False
+    transport: Any
+
+    def __init__(self, proxy: Proxy, all_others: tuple[str, int], known: list[tuple[str, int]]) -> None:
+        self.proxy = proxy
+        self.all_others = all_others
+        self.known = frozenset(known)
+
+    def tell(self, server_id: str, seconds: float) -> None:
+        text = f"{server_id} {seconds:.3f}".encode()
+        if len(text) <= LONGEST:
+            self.transport.write(text, self.all_others)
+
+    def datagramReceived(self, datagram: bytes, addr: Any) -> None:  # noqa: N802
+        server_id, _, seconds = datagram.decode(errors="replace").partition(" ")
+        try:
+            takes = float(seconds)
+        except ValueError:
+            return
+        # Danger: whatever reaches the port could say that every server is strained.
+        if addr in self.known and 0 <= takes < 3600:
+            self.proxy.peer_told(server_id, takes)
--- /dev/null
+++ b/brambleplank/net/probes.py
@@ -0,0 +1,114 @@
+"""Probes, and what their delays say of how long messages take at a server.
+
+A line to a strained server comes back as fast as ever, so the time of messages cannot be read off lines. A
+probe is work for its server: where messages take their target time, it takes about twice its usual time.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any
+
+from twisted.internet.protocol import ClientFactory
+from twisted.protocols.basic import LineReceiver
+from twisted.python.failure import Failure
+
+from brambleplank.net.buffers import Dialer
+from brambleplank.net.loop import reactor
+
+if TYPE_CHECKING:
+    from brambleplank.decide import Server
+    from brambleplank.net.proxy import Proxy
+
+KEPT = 64  # delays that are remembered of a server
+ENOUGH = 4  # delays before anything is said
+JITTER = 0.1  # share of a delay that the way alone adds now and then
+LOST_AFTER = 5.0  # seconds; a probe still out by then is not coming back
+
+
+class Probe(LineReceiver, ClientFactory):
+    """A standing connection to one server, for one PING at a time."""
+
+    noisy = False
+    transport: Any = None
+
+    def __init__(self, probes: Probes, server: Server, address: tuple[str, int]) -> None:
+        self.probes = probes
+        self.server = server
+        self.asked = probes.proxy.now()  # when the PING that is out was sent; 0: none is
+        self.again = 0.0  # the delay of the one before, if this one is to confirm it
+        self.delays: list[float] = []
+        self.connector = Dialer(*address, self, probes.proxy.terms.connect_within, None, reactor)
+        probes.proxy.opened(1)
+        self.connector.connect()
+
+    def buildProtocol(self, addr: object) -> Probe:  # noqa: N802
+        return self
+
+    def connectionMade(self) -> None:  # noqa: N802
+        self.transport.setTcpNoDelay(True)
+        self.ask()
+
+    def ask(self) -> None:
+        self.asked = self.probes.proxy.now()
+        self.sendLine(b"PING")
+
+    def lineReceived(self, line: bytes) -> None:  # noqa: N802
+        if line == b"PONG" and self.asked:
+            delay, self.asked = self.probes.proxy.now() - self.asked, 0.0
+            self.probes.took(self, delay)
+        else:
+            self.transport.loseConnection()
+
+    def clientConnectionFailed(self, connector: object, reason: Failure) -> None:  # noqa: N802
+        self.gone()
+
+    def connectionLost(self, reason: Failure) -> None:  # type: ignore[override] # noqa: N802
+        self.gone()
+
+    def gone(self) -> None:
+        self.probes.proxy.opened(-1)
+        self.probes.open.pop(self.server, None)
+
+
+class Probes:
+    """The probes of this proxy."""
+
+    def __init__(self, proxy: Proxy) -> None:
+        self.proxy = proxy
+        self.open: dict[Server, Probe] = {}
+
+    def send(self, server: Server) -> None:
+        address = self.proxy.reach(server).address
+        probe = self.open.get(server)
+        if probe is None:
+            if address:
+                self.open[server] = Probe(self, server, address)
+        elif not probe.asked:
+            probe.ask()
+        elif self.proxy.now() > probe.asked + LOST_AFTER:
+            # Danger: a dead machine answers nothing and ends nothing; the probe would wait for ever.
+            probe.connector.disconnect()
+
+    def took(self, probe: Probe, delay: float) -> None:
+        delays = self.proxy.reach(probe.server).delays
+        delays[:] = [*delays[1 - KEPT :], delay]
+        if len(delays) < ENOUGH:
+            return
+        longer = (delay - (1 + JITTER) * self.usual(probe.server)) / self.work()
+        if longer > 1 / 3 and not probe.again:
+            # Danger: one late packet looks like strain. A long delay counts once a second one confirms it.
+            probe.again = longer
+            probe.ask()
+            return
+        share, probe.again = (min(longer, probe.again) if probe.again else longer), 0.0
+        self.proxy.measured(probe.server, share * self.proxy.shortest)
+
+    def usual(self, server: Server) -> float:
+        """A low delay, not the lowest: a hung server answers probes faster than any sound one."""
+        delays = sorted(self.proxy.reach(server).delays)
+        return delays[len(delays) // 4] if delays else 0.0
+
+    def work(self) -> float:
+        """What most probes take, at servers that are not strained."""
+        usual = sorted(self.usual(server) for server in self.open)
+        return usual[len(usual) // 2] or 1.0
--- a/brambleplank/net/proxy.py
+++ b/brambleplank/net/proxy.py
@@ -4,7 +4,6 @@
 
 import time
 from collections.abc import Callable
-from dataclasses import replace
 from typing import Any
 
 from twisted.internet.base import DelayedCall
@@ -15,12 +14,14 @@
 from brambleplank.net.discovery import Discovery, Entry, list_of
 from brambleplank.net.log import Log
 from brambleplank.net.loop import reactor
+from brambleplank.net.peers import Peers
+from brambleplank.net.probes import Probes
 from brambleplank.net.servers import Link, Reach
 from brambleplank.net.start import Told
 
-LOOK = 0.1  # seconds between two looks at how long lines take
+LOOK = 0.1  # seconds between two looks
+SILENT = 1.0  # seconds after which a line without an answer is spoken of
 LAST_COME = 0.5  # seconds after the call to stop in which clients may still come
-TELLING = 1.0  # seconds between two tellings of one server's message time
 
 
 class Proxy:
@@ -28,10 +29,15 @@
         # One clock: Unix time, since servers' starts are told in it, but never set back.
         self.anchor = time.time() - time.monotonic()
         self.log_lines = Log(self.now)
-        self.terms = replace(told.terms, push=False)  # here nothing is told that is not followed
+        self.terms = told.terms
         self.descriptors, self.in_use = told.descriptors, 16
         self.balancer = Balancer(self, self.terms, told.seed)
         self.discovery = Discovery(self, told.discovery)
+        self.probes = Probes(self)
+        self.peers: Peers | None = None
+        if told.peer_listen:
+            self.peers = Peers(self, told.peers_all, told.peers)
+            reactor.listenUDP(told.peer_listen[1], self.peers, interface=told.peer_listen[0])
         self.serving = self.stopping = False
         self.clients: dict[Client, None] = {}
         self.shortest = min(kind.message_target for kind in self.terms.service_types.values())
@@ -132,21 +138,25 @@
             self.balancer.load_told(self.now(), link.client.flow, link.number, seconds)
 
     def look(self) -> None:
-        """Tells message times in the rhythm that the decisions know: once a second while they are long."""
+        """Tells of connections that bring nothing back."""
         self.later(LOOK, self.look)
         now = self.now()
-        for server in list(self.balancer.servers.values()):
-            reach = self.reach(server)
-            if not reach.up or now < reach.told_at + TELLING:
-                continue
-            waiting = max((now - link.asked for link in reach.up if link.asked), default=0.0)
-            takes = max(reach.worst, waiting)
-            long = takes > self.shortest / 3
-            if long or (reach.told_long and reach.worst):
-                link = next(iter(reach.up))
-                reach.told_at, reach.told_long, reach.worst = now, long, 0.0
-                if link.client and link.client.flow:
-                    self.balancer.message_time_told(now, link.client.flow, link.number, takes)
+        for client in [c for c in self.clients if c.link and c.link.asked and now > c.link.asked + SILENT]:
+            if client.flow and client.link:
+                self.balancer.silent(now, client.flow, now - client.link.asked)
+
+    def measured(self, server: Server, seconds: float) -> None:
+        """How long messages take at a server; told while that is long, and once when it no longer is."""
+        reach, long = self.reach(server), seconds > self.shortest / 3
+        if long or reach.told_long:
+            reach.told_long = long
+            self.balancer.message_time_told(self.now(), server, seconds, measured=True)
+
+    # What other proxies say.
+
+    def peer_told(self, server_id: str, seconds: float) -> None:
+        if server := self.balancer.servers.get(server_id):
+            self.balancer.message_time_told(self.now(), server, seconds)
 
     # What discovery says.
 
@@ -197,6 +207,13 @@
         client.finish("moved", b"MOVE")
         self.later(0, self.tell_over, flow, link, End.CANCELLED)
 
+    def probe(self, server: Server) -> None:
+        self.probes.send(server)
+
+    def tell_peers(self, server: Server, seconds: float) -> None:
+        if self.peers:
+            self.peers.tell(server.id, seconds)
+
     def room(self) -> float:
         return 1 - self.in_use / self.descriptors
 
--- a/brambleplank/net/servers.py
+++ b/brambleplank/net/servers.py
@@ -31,9 +31,8 @@
         self.name = name
         self.address: tuple[str, int] | None = None
         self.up: dict[Link, None] = {}  # established
-        self.worst = 0.0  # the longest a line took since the last telling
-        self.told_at = 0.0
-        self.told_long = False
+        self.delays: list[float] = []  # of probes, newest last
+        self.told_long = False  # whether messages took long there when last told
 
 
 class Link(LineReceiver, ClientFactory):
@@ -119,8 +118,7 @@
         self.last = line
         if line.startswith(b"LOAD "):
             self.proxy.load_told(self, line[5:])
-        elif self.asked:
-            self.reach.worst = max(self.reach.worst, self.proxy.now() - self.asked)
+        else:
             self.asked = 0.0
         if self.client:
             self.client.sendLine(line)
--- a/brambleplank/net/start.py
+++ b/brambleplank/net/start.py
@@ -24,6 +24,9 @@
     discovery: tuple[str, int]
     seed: int
     descriptors: int
+    peer_listen: tuple[str, int] | None
+    peers_all: tuple[str, int]
+    peers: list[tuple[str, int]]
     known: dict[str, Any]
     terms: Terms
 
@@ -66,15 +69,22 @@
     if not isinstance(told.get("settings"), dict):
         raise UnfitError("settings: missing or not an object")
     try:
-        terms = terms_of(told["settings"])
+        terms = terms_of(told["settings"], sockets=True)
     except (MalformedError, KeyError, TypeError) as error:
         raise UnfitError(f"settings: lack or garble {error}") from None
+    talks = terms.peers and told.get("peer_listen") is not None
+    peers = told.get("peers", [])
+    if not isinstance(peers, list):
+        raise UnfitError(f"peers: need a list of addresses, not {peers!r:.60}")
     return Told(
         name=name,
         listen=address(os.environ.get("ROUTER_LISTEN") or told.get("listen"), "listen"),
         discovery=address(os.environ.get("ROUTER_DISCOVERY") or told.get("discovery"), "discovery"),
         seed=seed,
         descriptors=descriptors,
+        peer_listen=address(told["peer_listen"], "peer_listen") if talks else None,
+        peers_all=address(told.get("peers_all"), "peers_all") if talks else ("", 0),
+        peers=[address(peer, "peers") for peer in peers],
         known=told.get("known") or {"seq": 0, "whole": True, "hosts": []},
         terms=terms,
     )
--- a/brambleplank/terms.py
+++ b/brambleplank/terms.py
@@ -8,6 +8,7 @@
 
 EFFECTS = {"repeatable": Effect.REPEATABLE, "by_key": Effect.REFERENCED, "once": Effect.ONCE_ONLY}
 MICRO = 1e-6
+LONGEST_SILENCE = 4.5  # seconds; 7 are allowed, and a line goes out every 2
 LONGEST_LEAVE = 3.0  # seconds that a planned stop leaves at most
 
 
@@ -22,8 +23,11 @@
     return words[word]
 
 
-def terms_of(info: dict[str, Any]) -> Terms:
-    """Decode once what the module reads; keys it does not know are left alone."""
+def terms_of(info: dict[str, Any], sockets: bool = False) -> Terms:
+    """Decode once what the module reads; keys it does not know are left alone.
+
+    On sockets the list is followed, never pushed, and no message times are told.
+    """
     limits, rules, facts = info["policy_limits"], info["rules"], info.get("specifics", {})
     targets = facts.get("message_aim_us", [])
     waits = [item.get("deadline_us", item["setup_target_us"]) * MICRO for item in info["service_types"]]
@@ -41,7 +45,7 @@
         proxies=max(1, info["balancers"]),
         number=info["slot_no"],
         tick=info["tick_us"] * MICRO,
-        push=info["discovery"] == "push",
+        push=info["discovery"] == "push" and not sockets,
         max_connects=limits["max_connects"],
         cancelling=limits["cancelling"],
         retry_after=limits["retry_after"],
@@ -54,6 +58,10 @@
         fall_time=rules["fall_us"] * MICRO,
         connect_within=limits["connect_timeout_us"] * MICRO,
         leave_within=min(LONGEST_LEAVE, *waits) / 2,
+        silence_within=LONGEST_SILENCE,
+        zone=info.get("az", ""),
+        measures=sockets and bool(limits.get("may_probe", False)),
+        peers=bool(limits.get("peers", False)),
         groups=bool(facts.get("groups", False)),
         tells_load=bool(facts.get("tells_load", False)),
         service_types=service_types,
--- a/brambleplank/wirehost/door.py
+++ b/brambleplank/wirehost/door.py
@@ -69,7 +69,7 @@
             if what == LOAD:
                 self.balancer.load_told(now, flow, trial, amount * MICRO)
             elif what == MESSAGE_TIME:
-                self.balancer.message_time_told(now, flow, trial, amount / 1000)
+                self.balancer.message_time_told(now, flow.connects[trial].server, amount / 1000)
 
     def elapsed(self, now: float, token: int) -> None:
         known(self.alarms, token, "alarm")
@@ -114,6 +114,12 @@
     def move(self, flow: Flow) -> None:
         self.out.append(["SHIFT", self.name, flow.handle])
 
+    def probe(self, server: Server) -> None:
+        """Never asked for here: the wire tells message times."""
+
+    def tell_peers(self, server: Server, seconds: float) -> None:
+        """Never asked for here: the wire tells every proxy."""
+
     def room(self) -> float:
         return 1.0
 
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,22 +1,35 @@
-"""One tiny fake host, a proxy behind it, and a clock moved by hand."""
+"""One tiny fake host with a clock moved by hand; and stand-ins for all that the real program speaks to."""
 
 from __future__ import annotations
 
-from collections.abc import Callable
+import json
+import os
+import queue
+import signal
+import socket
+import struct
+import subprocess
+import sys
+import threading
+import time
+from collections.abc import Callable, Iterator
+from contextlib import suppress
 from dataclasses import replace
+from pathlib import Path
 from typing import Any
 
 import pytest
 
-from brambleplank.decide import Balancer, Flow, Server
+from brambleplank import decide
+from brambleplank.decide import Balancer, Flow
 from brambleplank.host import Condition, Effect, End, ServiceType, Terms
 
 FEED = ServiceType(0.3, Effect.REPEATABLE, "all", 5.0, 0.1)
 TERMS = Terms(
     proxies=2, number=0, tick=0.005, push=True, max_connects=3, cancelling=True, retry_after=True,
     longest_pause=2.0, drain_grace=1.0, ask_within=10.0, cold_from=0.2, ramp_time=20.0, overload_factor=3.0,
-    fall_time=2.0, connect_within=0.15, leave_within=1.0, groups=True, tells_load=False,
-    service_types={"feed": FEED},
+    fall_time=2.0, connect_within=0.15, leave_within=1.0, silence_within=4.5, zone="a", measures=False,
+    peers=False, groups=True, tells_load=False, service_types={"feed": FEED},
 )
 
 
@@ -36,12 +49,12 @@
     ) -> None:
         self.proxy.list_told(self.now, [(s, zone, 0, c, 1.0, started) for s, c in states.items()], whole)
 
-    def server(self, server_id: str) -> Server:
+    def server(self, server_id: str) -> decide.Server:
         return self.proxy.servers[server_id]
 
     def come(
         self, key: int | None = 7, wait: float = 1.8, group: int | None = None, midflow: bool = False,
-        returned: bool = False, at: Server | None = None,
+        returned: bool = False, at: decide.Server | None = None,
     ) -> Flow:
         return self.proxy.flow(
             self.now, None, "feed", key, group, self.now + wait, midflow, returned, at
@@ -80,7 +93,7 @@
     def asked(self, call: str) -> list[Any]:
         return [what for name, what in self.said if name == call]
 
-    def connect(self, flow: Flow, server: Server, max_wait: float) -> None:
+    def connect(self, flow: Flow, server: decide.Server, max_wait: float) -> None:
         self.said.append(("connect", (flow, server, max_wait)))
 
     def withdraw(self, flow: Flow, number: int) -> None:
@@ -95,6 +108,12 @@
     def move(self, flow: Flow) -> None:
         self.said.append(("move", flow))
 
+    def probe(self, server: decide.Server) -> None:
+        self.said.append(("probe", server))
+
+    def tell_peers(self, server: decide.Server, seconds: float) -> None:
+        self.said.append(("tell_peers", (server, seconds)))
+
     def room(self) -> float:
         return self.free
 
@@ -111,3 +130,192 @@
 @pytest.fixture
 def fake() -> Fake:
     return Fake()
+
+
+# Stand-ins for the program's surroundings: servers, discovery, and a client, all on loopback.
+
+SETTINGS: dict[str, Any] = {
+    "balancers": 1, "slot_no": 0, "tick_us": 5000, "discovery": "push", "an_unknown_key": 1,
+    "policy_limits": {
+        "max_connects": 3, "may_probe": False, "cancelling": True, "retry_after": True,
+        "max_retry_after_us": 2000000, "connect_timeout_us": 150000,
+    },
+    "rules": {
+        "stop_sending_within_us": 1000000, "ask_within_us": 10000000, "cold_from": 0.2,
+        "ramp_time_us": 20000000, "overload_factor": 3, "fall_us": 2000000,
+    },
+    "service_types": [
+        {"name": "feed", "effect": "repeatable", "setup_target_us": 300000, "deadline_us": 1800000},
+        {"name": "order", "effect": "once", "setup_target_us": 300000, "deadline_us": 1800000},
+    ],
+}
+PATIENCE = 15.0  # far longer than anything here should take
+
+
+class Line:
+    """One end of a connection, read by lines."""
+
+    def __init__(self, conn: socket.socket) -> None:
+        self.conn = conn
+        self.conn.settimeout(PATIENCE)
+        self.file = conn.makefile("rb")
+
+    def say(self, line: str) -> None:
+        self.conn.sendall(line.encode() + b"\r\n")
+
+    def hear(self) -> str:
+        """The next line; "" at the end of the connection, "reset" if it broke."""
+        try:
+            return self.file.readline().decode().rstrip("\r\n")
+        except ConnectionResetError:
+            return "reset"
+
+    def end(self, reset: bool = False) -> None:
+        if reset:
+            self.conn.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+        else:
+            self.conn.shutdown(socket.SHUT_RDWR)
+        self.file.close()
+        self.conn.close()
+
+
+class Server:
+    """A server: it answers OPEN as it is told to, hands the connection over, and sends lines back."""
+
+    def __init__(self, answer: str | None = "UP r1") -> None:
+        self.answer = answer  # None: silence; "": it ends the connection
+        self.socket = socket.create_server(("127.0.0.1", 0))
+        self.dial = f"127.0.0.1:{self.socket.getsockname()[1]}"
+        self.opened: queue.Queue[tuple[str, Line]] = queue.Queue()
+        self.count = 0
+        threading.Thread(target=self.accept, daemon=True).start()
+
+    def accept(self) -> None:
+        with suppress(OSError):
+            while True:
+                threading.Thread(target=self.serve, args=[Line(self.socket.accept()[0])], daemon=True).start()
+
+    def serve(self, line: Line) -> None:
+        first = line.hear()
+        if not first.startswith("OPEN "):
+            return
+        self.count += 1
+        if self.answer:
+            line.say(self.answer)
+        elif self.answer is not None:
+            line.end()
+        self.opened.put((first, line))
+
+    def next(self) -> tuple[str, Line]:
+        return self.opened.get(timeout=PATIENCE)
+
+    def close(self) -> None:
+        self.socket.shutdown(socket.SHUT_RDWR)  # a thread that waits in accept would keep it open
+        self.socket.close()
+
+
+class Discovery:
+    """Discovery: each watch stays open and gets what is told, until it is broken or stays silent."""
+
+    def __init__(self) -> None:
+        self.socket = socket.create_server(("127.0.0.1", 0))
+        self.address = f"127.0.0.1:{self.socket.getsockname()[1]}"
+        self.asked: queue.Queue[tuple[str, Line]] = queue.Queue()
+        threading.Thread(target=self.accept, daemon=True).start()
+
+    def accept(self) -> None:
+        with suppress(OSError):
+            while True:
+                line = Line(self.socket.accept()[0])
+                first = line.hear()
+                while line.hear():
+                    pass
+                self.asked.put((first, line))
+
+    def watch(self) -> tuple[str, Line]:
+        """The next request for a watch, answered by the head of a chunked answer."""
+        first, line = self.asked.get(timeout=PATIENCE)
+        line.conn.sendall(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+        return first, line
+
+    @staticmethod
+    def tell(line: Line, text: str) -> None:
+        line.conn.sendall(b"%x\r\n%b\n\r\n" % (len(text) + 1, text.encode()))
+
+
+def told(seq: int, whole: bool, **hosts: Any) -> dict[str, Any]:
+    """A list as discovery writes it; each host is its address, or that and its health."""
+    entries = []
+    for name, what in hosts.items():
+        dial, health = what if isinstance(what, tuple) else (what, "ready")
+        entries.append({
+            "host": name, "dial": dial, "site": "a", "class": "m", "block": 0, "health": health,
+            "share": 1.0, "born_ms": 0,
+        })
+    return {"seq": seq, "whole": whole, "hosts": entries}
+
+
+class Program:
+    """The real program, started as operators do."""
+
+    def __init__(self, folder: Path, known: dict[str, Any], **changes: Any) -> None:
+        self.discovery = Discovery()
+        spare = socket.create_server(("127.0.0.1", 0))
+        self.listen = spare.getsockname()
+        spare.close()
+        config = {
+            "name": "n1", "listen": f"127.0.0.1:{self.listen[1]}", "discovery": self.discovery.address,
+            "seed": "1f",
+            "limits": {"cores": 1.0, "memory_mb": 256, "sockets": 256}, "known": known, "settings": SETTINGS,
+            **changes,
+        }
+        path = folder / "config.json"
+        path.write_text(json.dumps(config))
+        self.process = start(path)
+
+    def caller(self, line: str = "") -> Line:
+        until = time.monotonic() + PATIENCE
+        while True:
+            try:
+                line_to = Line(socket.create_connection(self.listen))
+                break
+            except ConnectionRefusedError:
+                assert self.process.poll() is None and time.monotonic() < until
+        if line:
+            line_to.say(line)
+        return line_to
+
+    def opening(self, key: str = "7f", d: int = 1500, kind: str = "feed", more: str = "") -> Line:
+        return self.caller(f"OPEN 9b1f03aa5c7e2d41 {key} c={kind},t=acme,d={d}{more}")
+
+    def log(self) -> str:
+        """All it has written; it has ended."""
+        return self.process.communicate(timeout=PATIENCE)[1]
+
+    def stop(self) -> str:
+        self.process.send_signal(signal.SIGTERM)
+        return self.log()
+
+
+def start(config: Path | None) -> subprocess.Popen[str]:
+    given = {name: value for name, value in os.environ.items() if not name.startswith("ROUTER_")}
+    if config:
+        given["ROUTER_CONFIG"] = str(config)
+    return subprocess.Popen(
+        [sys.executable, "-B", "-m", "brambleplank"], env=given, stderr=subprocess.PIPE, text=True
+    )
+
+
+@pytest.fixture
+def run(tmp_path: Path) -> Iterator[Callable[..., Program]]:
+    """Starts programs, and ends what a failed story left running."""
+    programs: list[Program] = []
+
+    def begin(known: dict[str, Any], **changes: Any) -> Program:
+        programs.append(Program(tmp_path, known, **changes))
+        return programs[-1]
+
+    yield begin
+    for program in programs:
+        program.process.kill()
+        program.process.communicate()
--- a/tests/test_stories.py
+++ b/tests/test_stories.py
@@ -173,9 +173,9 @@
 def test_a_server_whose_messages_are_slow_is_passed_over_until_they_are_quick_again(fake: Fake) -> None:
     flow = fake.stand(fake.come(7))
     owner = flow.connects[0].server
-    fake.proxy.message_time_told(fake.now, flow, 0, 0.2)
+    fake.proxy.message_time_told(fake.now, flow.connects[-1].server, 0.2)
     assert fake.come(7).connects[0].server is not owner
-    fake.proxy.message_time_told(fake.now, flow, 0, 0.01)
+    fake.proxy.message_time_told(fake.now, flow.connects[-1].server, 0.01)
     fake.pass_time(10.0)
     assert fake.come(7).connects[0].server is owner
 
@@ -191,10 +191,10 @@
 def test_a_slow_server_is_relieved_of_its_smallest_group_but_a_hot_group_is_not_chased(fake: Fake) -> None:
     hot = [fake.stand(fake.come(group=1)) for _ in range(6)]
     server = hot[0].connects[0].server
-    fake.proxy.message_time_told(fake.now, hot[0], 0, 0.05)
+    fake.proxy.message_time_told(fake.now, hot[0].connects[-1].server, 0.05)
     assert not fake.asked("move")
     small = [fake.come(group=2, at=server)]
-    fake.proxy.message_time_told(fake.now, hot[0], 0, 0.05)
+    fake.proxy.message_time_told(fake.now, hot[0].connects[-1].server, 0.05)
     assert fake.asked("move") == small and small[0].answered
 
 
@@ -208,9 +208,9 @@
 def test_a_displaced_group_stays_together_until_its_last_member_has_left(fake: Fake) -> None:
     first = fake.stand(fake.come(group=1))
     owner = first.connects[0].server
-    fake.proxy.message_time_told(fake.now, first, 0, 0.2)
+    fake.proxy.message_time_told(fake.now, first.connects[-1].server, 0.2)
     away = fake.stand(fake.come(group=1))
-    fake.proxy.message_time_told(fake.now, first, 0, 0.01)
+    fake.proxy.message_time_told(fake.now, first.connects[-1].server, 0.01)
     later = fake.stand(fake.come(group=1))
     assert later.connects[0].server is away.connects[0].server is not owner
     for flow in (away, later):
@@ -236,8 +236,8 @@
 def test_a_server_that_is_quick_again_is_refilled_by_a_trickle_that_doubles() -> None:
     fake = Fake(servers=1)
     flow = fake.stand(fake.come())
-    fake.proxy.message_time_told(fake.now, flow, 0, 0.2)
-    fake.proxy.message_time_told(fake.now, flow, 0, 0.01)
+    fake.proxy.message_time_told(fake.now, flow.connects[-1].server, 0.2)
+    fake.proxy.message_time_told(fake.now, flow.connects[-1].server, 0.01)
     taken = []
     for _ in range(3):
         taken.append(sum(fake.come_and_stand() for _ in range(30)))
@@ -247,16 +247,16 @@
 
 def test_a_hot_group_whose_messages_miss_the_target_is_thinned_one_by_one(fake: Fake) -> None:
     hot = [fake.stand(fake.come(group=1)) for _ in range(4)]
-    fake.proxy.message_time_told(fake.now, hot[0], 0, 0.2)
+    fake.proxy.message_time_told(fake.now, hot[0].connects[-1].server, 0.2)
     assert len(fake.asked("move")) == 1
-    fake.proxy.message_time_told(fake.now, hot[0], 0, 0.2)
+    fake.proxy.message_time_told(fake.now, hot[0].connects[-1].server, 0.2)
     assert len(fake.asked("move")) == 2
 
 
 def test_in_a_fleet_short_of_room_a_small_group_is_not_strewn_over_it(fake: Fake) -> None:
     held = [fake.come(group=key, at=server) for key, server in enumerate(fake.proxy.ready)]
     for flow in held[:3]:
-        fake.proxy.message_time_told(fake.now, flow, 0, 0.05)
+        fake.proxy.message_time_told(fake.now, flow.connects[-1].server, 0.05)
     fake.pass_time(1.0)
     strained = {flow.connects[0].server for flow in held[:3]}
     small = next(
@@ -269,18 +269,18 @@
 def test_in_a_short_fleet_a_server_that_misses_its_target_is_given_no_more(fake: Fake) -> None:
     held = [fake.come(group=key, at=server) for key, server in enumerate(fake.proxy.ready)]
     for flow in held:
-        fake.proxy.message_time_told(fake.now, flow, 0, 0.2)
+        fake.proxy.message_time_told(fake.now, flow.connects[-1].server, 0.2)
     fake.pass_time(1.0)
     assert not fake.come().connects and fake.asked("reject")
     for flow in held:
-        fake.proxy.message_time_told(fake.now, flow, 0, 0.05)
+        fake.proxy.message_time_told(fake.now, flow.connects[-1].server, 0.05)
     assert fake.come(returned=True).connects
 
 
 def test_in_a_short_fleet_a_failed_connect_still_goes_to_another_server(fake: Fake) -> None:
     held = [fake.come(group=key, at=server) for key, server in enumerate(fake.proxy.ready)]
     for flow in held:
-        fake.proxy.message_time_told(fake.now, flow, 0, 0.05)
+        fake.proxy.message_time_told(fake.now, flow.connects[-1].server, 0.05)
     fake.pass_time(1.0)
     flow = fake.come()
     fake.end(flow, End.FULL)
@@ -306,7 +306,7 @@
     fake.told({f"10.1.0.{i}:80": Condition.READY for i in range(20)}, started=fake.now)
     assert fake.proxy.mean() == 1.0
     for flow in held:
-        fake.proxy.message_time_told(fake.now, flow, 0, 0.05)
+        fake.proxy.message_time_told(fake.now, flow.connects[-1].server, 0.05)
     fake.pass_time(1.0)
     assert fake.proxy.strain.short(fake.now)
 
@@ -316,7 +316,7 @@
     for number in range(200):
         fake = Fake(proxies=200, number=number, seed=number)
         flow = fake.come(group=1, at=fake.proxy.ready[0])
-        fake.proxy.message_time_told(fake.now, flow, 0, 0.2)
+        fake.proxy.message_time_told(fake.now, flow.connects[-1].server, 0.2)
         moved += len(fake.asked("move"))
     assert 40 < moved < 100
 
@@ -346,7 +346,7 @@
 def test_a_proxy_with_a_handful_of_connections_sees_a_large_fleet_short_of_room() -> None:
     fake = Fake(servers=90, proxies=300)
     for key, server in enumerate(fake.proxy.ready[:4]):
-        fake.proxy.message_time_told(fake.now, fake.come(group=key, at=server), 0, 0.05)
+        fake.proxy.message_time_told(fake.now, fake.come(group=key, at=server).connects[0].server, 0.05)
     fake.pass_time(1.0)
     assert fake.proxy.strain.short(fake.now)
 
@@ -359,7 +359,7 @@
     for key, server in enumerate(fake.proxy.ready):
         if well_informed:
             fake.come(group=key, at=server)
-    fake.proxy.message_time_told(fake.now, flow, 0, 0.05)
+    fake.proxy.message_time_told(fake.now, flow.connects[-1].server, 0.05)
     fake.pass_time(9.0)
     assert (fake.come(7).connects[0].server is flow.connects[0].server) is well_informed
 
@@ -380,7 +380,7 @@
 def test_a_server_that_restarts_while_set_aside_keeps_nothing_of_the_old_process(fake: Fake) -> None:
     flow = fake.stand(fake.come(7))
     server = flow.connects[0].server
-    fake.proxy.message_time_told(fake.now, flow, 0, 0.2)
+    fake.proxy.message_time_told(fake.now, flow.connects[-1].server, 0.2)
     fake.end(flow, End.RESET, complete=True)
     fake.end(fake.come(7, at=server), End.RESET, complete=True)
     fake.told({server.id: Condition.READY}, started=fake.now - TERMS.ramp_time)
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -11,21 +11,10 @@
 
 from brambleplank.decide import Balancer
 from brambleplank.wirehost.pipe import Pipe
+from tests.conftest import SETTINGS
 
-INFO = {
-    "balancers": 1, "slot_no": 0, "tick_us": 5000, "discovery": "push", "an_unknown_key": 1,
-    "policy_limits": {
-        "max_connects": 3, "may_probe": False, "cancelling": True, "retry_after": True,
-        "max_retry_after_us": 2000000, "connect_timeout_us": 150000,
-    },
-    "rules": {
-        "stop_sending_within_us": 1000000, "ask_within_us": 10000000, "cold_from": 0.2,
-        "ramp_time_us": 20000000, "overload_factor": 3, "fall_us": 2000000,
-    },
-    "service_types": [{"name": "feed", "effect": "repeatable", "setup_target_us": 300000}],
-}
 TABLE = ["TABLE", 0, [["10.0.0.1:80", "a", "m", 0, "IN", 1, None]]]
-START = [["ENLIST", "proxy/0", 1, INFO], TABLE, ["ROSTER_CHANGE", "proxy/0", "SAVED", 1, 0]]
+START = [["ENLIST", "proxy/0", 1, SETTINGS], TABLE, ["ROSTER_CHANGE", "proxy/0", "SAVED", 1, 0]]
 FLOW = ["WORK_ITEM", "proxy/0", "00000000000000aa", "feed", None, 7, 3000000, None, None, 0]
 
 
@@ -95,6 +84,6 @@
 
 
 def test_proxies_beyond_the_count_told_and_an_empty_list_get_an_answer() -> None:
-    start = [["ENLIST", "proxy/0", 1, {**INFO, "slot_no": 9}], ["TABLE", 0, []], START[2]]
+    start = [["ENLIST", "proxy/0", 1, {**SETTINGS, "slot_no": 9}], ["TABLE", 0, []], START[2]]
     code, replies, _ = run([*start, FLOW])
     assert code == 0 and [a[0] for a in replies[0]][-1] == "BUSY"
