--- a/brambleplank/net/buffers.py
+++ b/brambleplank/net/buffers.py
@@ -66,6 +66,26 @@
         super()._closeSocket(orderly and not self.resetting)  # type: ignore[misc]
 
 
+class Tap:
+    """Pauses and resumes one side of a pair as the other can take more.
+
+    Danger: a transport that is lost stops its producer, which would close the other side before it has had
+    its last line. Ends are passed on in kind, by whoever knows the kind.
+    """
+
+    def __init__(self, transport: Any) -> None:
+        self.transport = transport
+
+    def pauseProducing(self) -> None:  # noqa: N802
+        self.transport.pauseProducing()
+
+    def resumeProducing(self) -> None:  # noqa: N802
+        self.transport.resumeProducing()
+
+    def stopProducing(self) -> None:  # noqa: N802
+        """The other side is gone."""
+
+
 class Incoming(PooledConnection, tcp.Server):
     """A client's connection."""
 
--- a/brambleplank/net/clients.py
+++ b/brambleplank/net/clients.py
@@ -11,6 +11,8 @@
 from twisted.protocols.policies import TimeoutMixin
 from twisted.python.failure import Failure
 
+from brambleplank.net.buffers import Tap
+
 if TYPE_CHECKING:
     from brambleplank.decide import Flow, Server
     from brambleplank.net.proxy import Proxy
@@ -46,6 +48,7 @@
         self.link: Link | None = None  # the one that is established
         self.at: tuple[str, int, int | None, Server] | None = None  # it stood at that server before the start
         self.early: list[bytes] = []
+        self.pinged = False
         self.done = ""  # the reason code of the end, once there is one
 
     def connectionMade(self) -> None:  # noqa: N802
@@ -63,7 +66,8 @@
             if len(self.early) >= EARLY_LINES:
                 self.transport.pauseProducing()
         elif line == b"PING":
-            self.sendLine(b"PONG" if self.proxy.serving else b"NO")
+            self.pinged = True
+            self.sendLine(b"PONG" if self.proxy.serving and not self.proxy.stopping else b"NO")
             self.resetTimeout()
         else:
             self.begin(line)
@@ -79,20 +83,19 @@
             fields[name] = value
         self.setTimeout(None)
         self.came = self.proxy.now()
-        try:
-            wait = int(fields["d"]) / 1000 if "d" in fields else 0.0
-        except ValueError:
-            self.finish("garbled", b"SYNTAX")
-            return
         self.line = line
-        if not self.proxy.came(self, number(match[2].decode()), wait, fields):
+        wait = fields.get("d", "0" if "at" in fields else "")
+        if not wait.isdigit() or not self.proxy.serves(fields):
             self.finish("garbled", b"SYNTAX")
+            return
+        key = number(match[2].decode())
+        self.proxy.guarded(self, self.proxy.came, self, key, int(wait) / 1000, fields)
 
     def stand(self, link: Link, line: bytes) -> None:
         """A server has answered UP: all lines go through from here on."""
         self.link = link
-        self.transport.registerProducer(link.transport, True)
-        link.transport.registerProducer(self.transport, True)
+        self.transport.registerProducer(Tap(link.transport), True)
+        link.transport.registerProducer(Tap(self.transport), True)
         self.sendLine(line)
         for held in self.early:
             link.pass_on(held)
@@ -137,9 +140,13 @@
         self.proxy.opened(-1)
         if not self.done:
             clean = reason.check(ConnectionDone) is not None
-            self.done = ("closed" if clean else "reset") if self.link else ("left" if self.line else "silent")
+            if self.line:
+                self.done = ("closed" if clean else "reset") if self.link else "left"
+            else:
+                self.done = "pinged" if self.pinged else "silent"
             self.proxy.left(self, not clean)
             self.proxy.ended(self)
+        self.proxy.clients.pop(self, None)
 
 
 class Clients(Factory):
--- a/brambleplank/net/discovery.py
+++ b/brambleplank/net/discovery.py
@@ -7,7 +7,7 @@
 
 from twisted.internet import defer
 from twisted.internet.endpoints import TCP4ClientEndpoint
-from twisted.internet.protocol import connectionDone
+from twisted.internet.protocol import Protocol, connectionDone
 from twisted.protocols.basic import LineReceiver
 from twisted.protocols.policies import TimeoutMixin
 from twisted.python.failure import Failure
@@ -92,6 +92,15 @@
             self.discovery.broke("ended")
 
 
+class Unread(Protocol):
+    """The body of an answer that is no list."""
+
+    transport: Any = None
+
+    def connectionMade(self) -> None:  # noqa: N802
+        self.transport.loseConnection()
+
+
 class Discovery:
     """Follows the list when asked to, and says when that failed."""
 
@@ -114,7 +123,7 @@
     def answered(self, response: Any) -> None:
         self.asking = None
         if response.code != 200:
-            response._transport.abortConnection()
+            response.deliverBody(Unread())
             self.failed(f"status {response.code}")
             return
         self.watch = Watch(self)
@@ -122,7 +131,7 @@
 
     def failed(self, why: Failure | str) -> None:
         self.asking = None
-        self.proxy.list_failed(why if isinstance(why, str) else why.getErrorMessage())
+        self.proxy.list_failed(why if isinstance(why, str) else type(why.value).__name__)
 
     def broke(self, why: str) -> None:
         watch, self.watch = self.watch, None
--- a/brambleplank/net/proxy.py
+++ b/brambleplank/net/proxy.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 import time
+import traceback
 from collections.abc import Callable
+from types import TracebackType
 from typing import Any
 
 from twisted.internet.base import DelayedCall
@@ -57,10 +59,12 @@
 
     # What clients say.
 
-    def came(self, client: Client, key: int, wait: float, fields: dict[str, str]) -> bool:
-        """A flow; False: it names what the site does not have."""
-        if fields.get("c") not in self.terms.service_types:
-            return False
+    def serves(self, fields: dict[str, str]) -> bool:
+        """Whether the site has what the flow names."""
+        return fields.get("c") in self.terms.service_types
+
+    def came(self, client: Client, key: int, wait: float, fields: dict[str, str]) -> None:
+        """A flow."""
         group = number(fields["g"]) if self.terms.groups and "g" in fields else None
         now = self.now()
         self.clients[client] = None
@@ -68,11 +72,10 @@
             server = self.balancer.record(now, fields["at"])
             client.links.append(Link(self, client, 0, self.reach(server), 0.0))
             client.at = (fields["c"], key, group, server)
-            return True
+            return
         client.flow = self.balancer.flow(
             now, client, fields["c"], key, group, client.came + wait, False, fields.get("again") == "1"
         )
-        return True
 
     def left(self, client: Client, reset: bool) -> None:
         """The client is gone."""
@@ -80,7 +83,6 @@
             self.balancer.lapsed(self.now(), client.flow)
         for link in client.links:
             if not link.over:
-                link.client = client
                 link.close(reset)
                 if client.flow:
                     end = End.OK if link.up and not reset else End.CANCELLED
@@ -89,7 +91,6 @@
                     )
 
     def ended(self, client: Client) -> None:
-        self.clients.pop(client, None)
         where = client.links[-1].reach.name if client.links else "-"
         age = self.now() - client.came if client.came else 0.0
         name = client.line[5:].split(b" ", 1)[0].decode() or "-"
@@ -106,8 +107,6 @@
 
     def stands(self, link: Link) -> None:
         client, now = link.client, self.now()
-        if client is None:
-            return
         if client.at:
             kind, key, group, server = client.at
             client.flow = self.balancer.flow(now, client, kind, key, group, now, False, False, server)
@@ -117,8 +116,6 @@
 
     def connect_over(self, link: Link, end: End, reset: bool) -> None:
         client, now = link.client, self.now()
-        if client is None:
-            return
         if link.up:
             code = {End.OK: "bye", End.CANCELLED: "drained", End.ERROR: "error"}.get(end, "broke")
             client.finish(code, reset=reset)
@@ -130,7 +127,7 @@
             )
 
     def load_told(self, link: Link, load: bytes) -> None:
-        if self.terms.tells_load and link.client and link.client.flow:
+        if self.terms.tells_load and link.client.flow:
             try:
                 seconds = float(load)
             except ValueError:
@@ -141,9 +138,10 @@
         """Tells of connections that bring nothing back."""
         self.later(LOOK, self.look)
         now = self.now()
-        for client in [c for c in self.clients if c.link and c.link.asked and now > c.link.asked + SILENT]:
-            if client.flow and client.link:
-                self.balancer.silent(now, client.flow, now - client.link.asked)
+        for client in list(self.clients):
+            link = client.link
+            if link and not link.over and link.asked and now > link.asked + SILENT and client.flow:
+                self.balancer.silent(now, client.flow, now - link.asked)
 
     def measured(self, server: Server, seconds: float) -> None:
         """How long messages take at a server; told while that is long, and once when it no longer is."""
@@ -226,7 +224,21 @@
     def log(self, text: str) -> None:
         self.log_lines.say(text)
 
-    # Start and stop.
+    # Start, faults and stop.
+
+    def guarded(self, client: Client, call: Callable[..., None], *what: Any) -> None:
+        """Danger: an exception between a flow's line and its answer would leave the client with neither."""
+        try:
+            call(*what)
+        except Exception as error:
+            self.fault(error, error.__traceback__)
+            client.finish("fault", b"FAIL")
+
+    def fault(self, error: BaseException, trace: TracebackType | None) -> None:
+        """Danger: an exception that nobody sees. It has cost one connection; this line says where."""
+        where = traceback.extract_tb(trace)[-1] if trace else None
+        at = f"{where.filename.rsplit('/', 1)[-1]}:{where.lineno}" if where else "-"
+        self.log_lines.say(f"fault {type(error).__name__} at {at}: {error}")
 
     def stop(self) -> None:
         """SIGTERM: the proxy empties, then the program ends."""
--- a/brambleplank/net/run.py
+++ b/brambleplank/net/run.py
@@ -7,15 +7,15 @@
 from typing import Any
 
 from twisted.internet import error
+from twisted.logger import globalLogBeginner
 
 from brambleplank.net import start
 from brambleplank.net.buffers import Listener
 from brambleplank.net.clients import Clients
-from brambleplank.net.discovery import GarbledError
 from brambleplank.net.loop import reactor
 from brambleplank.net.proxy import Proxy
 
-BACKLOG = 1024
+BACKLOG = 1024  # connections that the kernel holds ready; each may already have sent its line
 
 
 def main() -> int:
@@ -27,12 +27,17 @@
     except start.UnfitError as unfit:
         print(f"brambleplank: {unfit}", file=sys.stderr)
         return 2
-    except GarbledError as garbled:
-        print(f"brambleplank: known: not a list of servers: {garbled}", file=sys.stderr)
-        return 2
     except error.CannotListenError as cannot:
-        print(f"brambleplank: listen: {cannot.socketError}", file=sys.stderr)
+        key = "listen" if cannot.port == told.listen[1] else "peer_listen"
+        print(f"brambleplank: {key}: {cannot.interface}:{cannot.port}: {cannot.socketError}", file=sys.stderr)
         return 2
+
+    def observe(event: dict[str, Any]) -> None:
+        if "log_failure" in event:
+            proxy.fault(event["log_failure"].value, event["log_failure"].getTracebackObject())
+
+    observers: list[Any] = [observe]
+    globalLogBeginner.beginLoggingTo(observers, discardBuffer=True, redirectStandardIO=False)
     signal.signal(signal.SIGTERM, lambda *_: reactor.callFromThread(proxy.stop))
     reactor.run(installSignalHandlers=False)
     return 0
--- a/brambleplank/net/servers.py
+++ b/brambleplank/net/servers.py
@@ -25,12 +25,11 @@
 
 
 class Reach:
-    """How a server is reached, and how fast lines come back from it; `Server.handle` points here."""
+    """How a server is reached, and how fast probes come back from it; `Server.handle` points here."""
 
     def __init__(self, name: str) -> None:
         self.name = name
         self.address: tuple[str, int] | None = None
-        self.up: dict[Link, None] = {}  # established
         self.delays: list[float] = []  # of probes, newest last
         self.told_long = False  # whether messages took long there when last told
 
@@ -44,11 +43,12 @@
 
     def __init__(self, proxy: Proxy, client: Client, number: int, reach: Reach, wait: float) -> None:
         self.proxy = proxy
-        self.client: Client | None = client
+        self.client = client
         self.number = number
         self.reach = reach
         self.sent = proxy.now()
-        self.line = WAIT.sub(b"d=%d" % round(wait * 1000), client.line, count=1) if wait else client.line
+        patience = b"d=%d" % max(1, round(wait * 1000))
+        self.line = WAIT.sub(patience, client.line, count=1) if wait else client.line
         self.up = self.over = False
         self.asked = 0.0  # when the oldest line without an answer was passed on
         self.last = b""
@@ -60,17 +60,12 @@
         host, port = reach.address
         self.connector = Dialer(host, port, self, proxy.terms.connect_within, None, reactor)
         if wait:
-            self.timer = proxy.later(min(wait, proxy.terms.connect_within), self.waited, wait)
+            self.timer = proxy.later(wait, self.waited)
         proxy.opened(1)
         self.connector.connect()
 
-    def waited(self, wait: float) -> None:
-        """The connection is not up in time, or the answer is not."""
-        left = self.sent + wait - self.proxy.now()
-        if self.transport is not None and left > 0.0005:
-            self.timer = self.proxy.later(left, self.waited, wait)
-        else:
-            self.end(End.TIMEOUT if self.written() else End.UNREACHABLE)
+    def waited(self) -> None:
+        self.end(End.TIMEOUT if self.written() else End.UNREACHABLE)
 
     def written(self) -> bool:
         """Whether the last byte of OPEN went out: from then on it may have run."""
@@ -107,12 +102,14 @@
             self.end(End.FULL if line.split(b" ", 1)[0] == b"BUSY" else End.ERROR)
 
     def stand(self, line: bytes) -> None:
+        if self.client.done:
+            # Danger: where connects cannot be called off, an UP may come when the client has its answer.
+            self.end(End.CANCELLED)
+            return
         self.up = True
         self.cancel()
-        self.reach.up[self] = None
-        if self.client:
-            self.client.stand(self, line)
-            self.proxy.stands(self)
+        self.client.stand(self, line)
+        self.proxy.stands(self)
 
     def established_line(self, line: bytes) -> None:
         self.last = line
@@ -120,8 +117,7 @@
             self.proxy.load_told(self, line[5:])
         else:
             self.asked = 0.0
-        if self.client:
-            self.client.sendLine(line)
+        self.client.sendLine(line)
 
     def cancel(self) -> None:
         if self.timer and self.timer.active():
@@ -133,12 +129,11 @@
         if self.over:
             return
         self.close(reset)
-        self.proxy.connect_over(self, end, reset)
+        self.proxy.guarded(self.client, self.proxy.connect_over, self, end, reset)
 
     def close(self, reset: bool = False) -> None:
         self.over = True
         self.cancel()
-        self.reach.up.pop(self, None)
         if self.transport is not None:
             self.transport.unregisterProducer()
             if reset:
--- a/brambleplank/net/start.py
+++ b/brambleplank/net/start.py
@@ -8,7 +8,26 @@
 from typing import Any
 
 from brambleplank.host import Terms
-from brambleplank.terms import MalformedError, terms_of
+from brambleplank.net.discovery import GarbledError, list_of
+from brambleplank.terms import EFFECTS, terms_of
+
+FEWEST_DESCRIPTORS = 64
+KINDS = {
+    dict: "an object", list: "a list", str: "a word", bool: "true or false", int: "a whole number",
+    float: "a number",
+}
+READ: tuple[tuple[str, type, float], ...] = (  # key, kind, least
+    ("balancers", int, 1), ("slot_no", int, 0), ("tick_us", float, 1), ("discovery", str, 0),
+    ("service_types", list, 0), ("policy_limits.max_connects", int, 1),
+    ("policy_limits.cancelling", bool, 0), ("policy_limits.retry_after", bool, 0),
+    ("policy_limits.max_retry_after_us", float, 0), ("policy_limits.connect_timeout_us", float, 1),
+    ("rules.stop_sending_within_us", float, 0), ("rules.ask_within_us", float, 1),
+    ("rules.cold_from", float, 0), ("rules.ramp_time_us", float, 1), ("rules.overload_factor", float, 0),
+    ("rules.fall_us", float, 1),
+)
+READ_OF_TYPES: tuple[tuple[str, type, float], ...] = (
+    ("name", str, 0), ("effect", str, 0), ("setup_target_us", float, 1), ("deadline_us", float, 1),
+)
 
 
 class UnfitError(Exception):
@@ -57,21 +76,24 @@
 def check(told: dict[str, Any]) -> Told:
     name = os.environ.get("ROUTER_NAME") or told.get("name")
     if not isinstance(name, str) or not name:
-        raise UnfitError("name: missing")
+        raise UnfitError("name: need a word")
     try:
         seed = int(str(told.get("seed", "")), 16)
     except ValueError:
         raise UnfitError(f"seed: need a hexadecimal number, not {told.get('seed')!r:.60}") from None
     limits = told.get("limits", {})
-    descriptors = limits.get("sockets", 1024) if isinstance(limits, dict) else None
-    if not isinstance(descriptors, int) or descriptors < 64:
-        raise UnfitError(f"limits.sockets: need a whole number from 64 on, not {descriptors!r:.60}")
-    if not isinstance(told.get("settings"), dict):
-        raise UnfitError("settings: missing or not an object")
+    if not isinstance(limits, dict):
+        raise UnfitError(f"limits: need an object, not {limits!r:.60}")
+    descriptors = limits.get("sockets", 1024)
+    if not isinstance(descriptors, int) or descriptors < FEWEST_DESCRIPTORS:
+        raise UnfitError(f"limits.sockets: need {FEWEST_DESCRIPTORS} at least, not {descriptors!r:.60}")
+    known = told.get("known", {"seq": 0, "whole": True, "hosts": []})
     try:
-        terms = terms_of(told["settings"], sockets=True)
-    except (MalformedError, KeyError, TypeError) as error:
-        raise UnfitError(f"settings: lack or garble {error}") from None
+        list_of(known)
+    except GarbledError as error:
+        raise UnfitError(f"known: not a list of servers: {error}") from None
+    check_settings(told.get("settings"))
+    terms = terms_of(told["settings"], sockets=True)
     talks = terms.peers and told.get("peer_listen") is not None
     peers = told.get("peers", [])
     if not isinstance(peers, list):
@@ -85,6 +107,39 @@
         peer_listen=address(told["peer_listen"], "peer_listen") if talks else None,
         peers_all=address(told.get("peers_all"), "peers_all") if talks else ("", 0),
         peers=[address(peer, "peers") for peer in peers],
-        known=told.get("known") or {"seq": 0, "whole": True, "hosts": []},
+        known=known,
         terms=terms,
     )
+
+
+def check_settings(settings: Any) -> None:
+    """Every setting that is read: there, of its kind, in its range."""
+    need(settings, "settings", dict)
+    for key, kind, least in READ:
+        value, at = settings, "settings"
+        for part in key.split("."):
+            need(value, at, dict)
+            at = f"{at}.{part}"
+            if part not in value:
+                raise UnfitError(f"{at}: missing")
+            value = value[part]
+        need(value, at, kind, least)
+    if not settings["service_types"]:
+        raise UnfitError("settings.service_types: need one at least")
+    for i, item in enumerate(settings["service_types"]):
+        at = f"settings.service_types[{i}]"
+        need(item, at, dict)
+        for key, kind, least in READ_OF_TYPES:
+            if key not in item:
+                raise UnfitError(f"{at}.{key}: missing")
+            need(item[key], f"{at}.{key}", kind, least)
+        if item["effect"] not in EFFECTS:
+            raise UnfitError(f"{at}.effect: need one of {', '.join(EFFECTS)}, not {item['effect']!r:.40}")
+
+
+def need(value: Any, key: str, kind: type, least: float = 0) -> None:
+    right = isinstance(value, (int, float) if kind is float else kind) and (kind is bool or value is not True)
+    if not right:
+        raise UnfitError(f"{key}: need {KINDS[kind]}, not {value!r:.60}")
+    if kind in (int, float) and not value >= least:
+        raise UnfitError(f"{key}: need {least} at least, not {value!r:.60}")
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -258,7 +258,7 @@
 class Program:
     """The real program, started as operators do."""
 
-    def __init__(self, folder: Path, known: dict[str, Any], **changes: Any) -> None:
+    def __init__(self, folder: Path, known: dict[str, Any], code: str = "", **changes: Any) -> None:
         self.discovery = Discovery()
         spare = socket.create_server(("127.0.0.1", 0))
         self.listen = spare.getsockname()
@@ -271,7 +271,7 @@
         }
         path = folder / "config.json"
         path.write_text(json.dumps(config))
-        self.process = start(path)
+        self.process = start(path, code)
 
     def caller(self, line: str = "") -> Line:
         until = time.monotonic() + PATIENCE
@@ -297,13 +297,12 @@
         return self.log()
 
 
-def start(config: Path | None) -> subprocess.Popen[str]:
+def start(config: Path | None, code: str = "") -> subprocess.Popen[str]:
     given = {name: value for name, value in os.environ.items() if not name.startswith("ROUTER_")}
     if config:
         given["ROUTER_CONFIG"] = str(config)
-    return subprocess.Popen(
-        [sys.executable, "-B", "-m", "brambleplank"], env=given, stderr=subprocess.PIPE, text=True
-    )
+    what = ["-c", code] if code else ["-m", "brambleplank"]
+    return subprocess.Popen([sys.executable, "-B", *what], env=given, stderr=subprocess.PIPE, text=True)
 
 
 @pytest.fixture
--- /dev/null
+++ b/tests/test_sockets.py
@@ -0,0 +1,342 @@
+"""The real program, spoken to over loopback."""
+
+from __future__ import annotations
+
+import json
+import signal
+import socket
+from collections.abc import Callable
+from contextlib import suppress
+from pathlib import Path
+from types import SimpleNamespace
+from typing import Any
+
+import pytest
+
+from brambleplank.net.probes import Probes
+from brambleplank.net.servers import Reach
+from tests.conftest import SETTINGS, Discovery, Line, Program, Server, start, told
+
+Run = Callable[..., Program]
+
+
+def fleet(*servers: Server, seq: int = 41) -> dict[str, Any]:
+    return told(seq, True, **{f"s{i}": server.dial for i, server in enumerate(servers)})
+
+
+def stood(run: Run) -> tuple[Program, Server, Line, Line]:
+    """A program with one server, a client established through it, and the server's end of that."""
+    server = Server()
+    program = run(fleet(server))
+    client = program.opening()
+    assert client.hear() == "UP r1"
+    return program, server, client, server.next()[1]
+
+
+def test_ready_only_with_a_list_then_a_flow_is_established_and_lines_pass_both_ways(run: Run) -> None:
+    server = Server()
+    program = run(told(0, True))
+    front = program.caller("PING")
+    assert front.hear() == "NO"
+    first, watch = program.discovery.watch()
+    assert first == "GET /discovery/hosts?watch=1&from=0 HTTP/1.1"
+    Discovery.tell(watch, json.dumps(fleet(server)))
+    client = program.opening(more=",h=12,again=1")
+    assert client.hear() == "UP r1"
+    front.say("PING")
+    assert front.hear() == "PONG"
+    line, there = server.next()
+    assert line == "OPEN 9b1f03aa5c7e2d41 7f c=feed,t=acme,d=300,h=12,again=1"
+    client.say("M 1")
+    assert there.hear() == "M 1"
+    there.say("LOAD 0.5")
+    there.say("BYE")
+    there.end()
+    assert [client.hear() for _ in range(3)] == ["LOAD 0.5", "BYE", ""]
+    assert "end bye 9b1f03aa5c7e2d41 server=s0 connects=1" in program.stop()
+
+
+def test_lines_in_pieces_and_lines_ahead_of_the_answer_arrive_whole(run: Run) -> None:
+    server = Server(answer=None)
+    program = run(fleet(server))
+    client = program.caller()
+    for byte in b"OPEN 1a 7f c=feed,t=acme,d=1500\r\nM 1\r\nM":
+        client.conn.sendall(bytes([byte]))
+    line, there = server.next()
+    assert line.startswith("OPEN 1a 7f ")
+    there.say("UP r7")
+    assert client.hear() == "UP r7" and there.hear() == "M 1"
+    client.say(" 2")
+    assert there.hear() == "M 2"
+    there.conn.sendall(b"half a li")
+    there.conn.sendall(b"ne\r\n")
+    assert client.hear() == "half a line"
+
+
+def test_a_server_that_turns_away_or_refuses_costs_a_further_connect(run: Run) -> None:
+    full, shut, good = Server("BUSY"), Server(), Server()
+    shut.close()
+    program = run(fleet(full, shut, good))
+    assert [program.opening(key).hear() for key in "abcdef"] == ["UP r1"] * 6
+    assert good.count == 6 and full.count
+
+
+def test_where_all_turn_away_the_client_is_told_when_to_come_back(run: Run) -> None:
+    program = run(fleet(Server("BUSY"), Server("BUSY")))
+    client = program.opening()
+    word, pause = client.hear().split()
+    assert word == "BUSY" and 1000 <= int(pause) <= 2000 and client.hear() == ""
+    assert "end rejected" in program.stop()
+
+
+@pytest.mark.parametrize(
+    ("answer", "client_hears"), [("", "FAIL"), ("ERR", "FAIL"), ("TEAPOT", "FAIL"), ("BUSY", "BUSY")]
+)
+def test_a_once_only_flow_that_may_have_run_is_aborted_not_sent_again(
+    run: Run, answer: str, client_hears: str
+) -> None:
+    one, other = Server(answer), Server(answer)
+    program = run(fleet(one, other))
+    client = program.opening(kind="order")
+    assert client.hear().split()[0] == client_hears
+    assert one.count + other.count == (3 if answer == "BUSY" else 1)
+
+
+def test_a_silent_server_is_given_up_in_time_and_its_late_answer_is_void(run: Run) -> None:
+    one, other = Server(None), Server(None)
+    program = run(fleet(one, other))
+    client = program.opening(d=1200)
+    assert client.hear().startswith("BUSY") and client.hear() == ""
+    for server in (one, other):
+        late = server.next()[1]
+        assert late.hear() == ""
+        with suppress(OSError):
+            late.say("UP r9")
+    assert program.stop().count("end rejected") == 1
+
+
+def test_a_draining_server_gets_nothing_new_and_a_gap_is_closed_by_the_whole_list(run: Run) -> None:
+    one, other = Server(), Server()
+    program = run(fleet(one, other))
+    _, watch = program.discovery.watch()
+    Discovery.tell(watch, json.dumps(told(42, False, s0=(one.dial, "draining"))))
+    Discovery.tell(watch, json.dumps(told(43, True, s1=other.dial, s2="127.0.0.1:9")))
+    Discovery.tell(watch, json.dumps(told(44, False, s2=("127.0.0.1:9", "gone"))))
+    Discovery.tell(watch, json.dumps(told(45, False, s3=(one.dial, "gone"))))
+    assert {program.opening(key).hear() for key in "abcdef"} == {"UP r1"}
+    assert one.count <= 1 and other.count >= 5  # one may have come ahead of the list
+
+
+@pytest.mark.parametrize("broken", ["status", "cut", "garbled", "lacking", "silent", "refused"])
+def test_a_broken_watch_is_opened_again_and_the_list_held_stays_good(run: Run, broken: str) -> None:
+    server = Server()
+    program = run(fleet(server))
+    if broken == "status":
+        line = program.discovery.asked.get(timeout=15)[1]
+        line.conn.sendall(b"HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n")
+    else:
+        _, line = program.discovery.watch()
+        if broken == "cut":
+            line.conn.sendall(b'20\r\n{"seq":42,"whole":tr')
+            line.end()
+        elif broken == "garbled":
+            Discovery.tell(line, '{"seq":42,')
+        elif broken == "lacking":
+            Discovery.tell(line, '{"seq":42,"whole":true,"hosts":[{"host":"s9","health":"ready"}]}')
+        elif broken == "refused":
+            line.end(reset=True)
+    again, watch = program.discovery.watch()
+    assert again.startswith("GET /discovery/hosts?watch=1&from=41 ")
+    assert program.opening().hear() == "UP r1"
+    other = Server("UP r2")
+    Discovery.tell(watch, json.dumps(fleet(other, seq=50)))
+    assert "list: " in program.stop()
+
+
+def test_sigterm_moves_what_stands_answers_who_still_comes_and_ends_with_zero(run: Run) -> None:
+    program, server, client, there = stood(run)
+    program.process.send_signal(signal.SIGTERM)
+    late = program.opening()
+    assert late.hear() == "UP r1"
+    assert (client.hear(), client.hear()) == ("MOVE", "") and (late.hear(), late.hear()) == ("MOVE", "")
+    assert there.hear() == ""
+    log = program.log()
+    assert program.process.returncode == 0 and log.count("end moved") == 2
+
+
+@pytest.mark.parametrize("reset", [False, True])
+def test_an_end_passes_on_in_kind_after_the_lines_before_it(run: Run, reset: bool) -> None:
+    program, server, client, there = stood(run)
+    client.say("M 1")
+    assert there.hear() == "M 1"
+    client.end(reset)
+    assert there.hear() == ("reset" if reset else "")
+    client = program.opening()
+    assert client.hear() == "UP r1"
+    there = server.next()[1]
+    there.say("the last line")
+    there.end(reset)
+    assert client.hear() == "the last line" and client.hear() == ("reset" if reset else "")
+    assert "end broke" in program.stop()
+
+
+def test_a_client_of_a_server_gone_silent_is_moved_within_seven_seconds(run: Run) -> None:
+    _, _, client, there = stood(run)
+    client.conn.settimeout(7.0)
+    client.say("M 1")
+    assert there.hear() == "M 1" and client.hear() == "MOVE"
+
+
+@pytest.mark.parametrize("call", ["place", "established", "connect_ended"])
+def test_an_exception_costs_one_connection_and_the_others_are_served_on(run: Run, call: str) -> None:
+    code = f"""
+import sys
+from brambleplank.decide import Balancer
+from brambleplank.net.run import main
+sound = Balancer.{call}
+def faulty(self, *what):
+    Balancer.{call} = sound
+    raise ValueError("made for this story")
+Balancer.{call} = faulty
+sys.exit(main())
+"""
+    server = Server("BUSY" if call == "connect_ended" else "UP r1")
+    program = run(fleet(server), code=code)
+    first = program.opening()
+    heard = [first.hear()]
+    while heard[-1] not in ("", "reset"):
+        heard.append(first.hear())
+    assert heard[0] == ("UP r1" if call == "established" else "FAIL") and len(heard) == 2
+    server.answer = "UP r1"
+    assert program.opening().hear() == "UP r1"
+    said = program.stop()
+    assert said.count("fault ValueError") == 1 and "Traceback" not in said
+
+
+def test_a_server_that_another_proxy_calls_strained_is_relieved(run: Run) -> None:
+    peer = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+    stranger = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+    ears = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+    for each in (peer, stranger, ears):
+        each.bind(("127.0.0.1", 0))
+    here = ears.getsockname()
+    ears.close()
+    limits = {**SETTINGS["policy_limits"], "peers": True}
+    known_as = f"127.0.0.1:{peer.getsockname()[1]}"
+    server = Server()
+    program = run(
+        fleet(server), settings={**SETTINGS, "policy_limits": limits}, peer_listen=f"127.0.0.1:{here[1]}",
+        peers=[known_as], peers_all=known_as,
+    )
+    client = program.opening()
+    assert client.hear() == "UP r1"
+    there = server.next()[1]
+    for _ in range(100):
+        stranger.sendto(b"s0 0.9", here)
+    client.say("M 1")
+    assert there.hear() == "M 1"
+    there.say("M 1")
+    assert client.hear() == "M 1"
+    for text in (b"s0 0.9", b"\xff\xff", b"s9 0.9", b"s0 nan", b"s0") * 100:
+        peer.sendto(text, here)
+    assert client.hear() == "MOVE"
+    assert "Traceback" not in program.stop()
+
+
+def test_a_probe_late_twice_in_a_row_tells_strain_and_a_hung_server_does_not_lower_the_usual() -> None:
+    said: list[float] = []
+    reach = Reach("s0")
+    proxy: Any = SimpleNamespace(
+        reach=lambda _: reach, measured=lambda _, seconds: said.append(seconds), shortest=0.1
+    )
+    probes = Probes(proxy)
+    asked: list[int] = []
+    probe: Any = SimpleNamespace(server=reach, again=0.0, ask=lambda: asked.append(1))
+    probes.open = {probe.server: probe}
+    for delay in (0.0040, 0.0042, 0.0041, 0.0040, 0.0043, 0.0006, 0.0041, 0.0042, 0.0040):
+        probes.took(probe, delay)
+    assert len(said) == 6 and max(said) < 0.033 and not asked
+    probes.took(probe, 0.0130)  # one late packet is measured again before anything is said
+    assert len(said) == 6 and len(asked) == 1
+    probes.took(probe, 0.0041)
+    assert said[-1] < 0.033
+    probes.took(probe, 0.0130)
+    probes.took(probe, 0.0110)
+    assert said[-1] > 0.1
+
+
+def test_a_connection_open_before_the_start_is_taken_up_where_it_was(run: Run) -> None:
+    one, other = Server(), Server()
+    program = run(fleet(one, other))
+    for name, server in (("s0", one), ("s1", other)):
+        assert program.opening(more=f",at={name}").hear() == "UP r1"
+        assert server.next()[0] == f"OPEN 9b1f03aa5c7e2d41 7f c=feed,t=acme,d=1500,at={name}"
+    stranger = program.opening(more=",at=s9")
+    assert stranger.hear() == "FAIL" and stranger.hear() == ""
+
+
+@pytest.mark.parametrize(
+    "rubbish",
+    [
+        b"\x00\xff\xfe\x01\r\n", b"GET / HTTP/1.1\r\n\r\n", b"OPEN\r\n", b"OPEN 1a 7f d=1\r\n",
+        b"OPEN 1a 7f c=teapot,t=acme,d=900\r\n", b"OPEN 1a 7f c=feed,t=acme,d=soon\r\n", b"x" * 5000,
+        b"OPEN 1a 7f c=feed,t=acme\r\n", b"OPEN 1a \xc3\xa9 c=feed,d=900\r\n", b"OPEN 1a 7f c=feed,d=-5\r\n",
+    ],
+)
+def test_what_is_no_opening_gets_one_line_and_the_others_are_served_on(run: Run, rubbish: bytes) -> None:
+    program, _, client, there = stood(run)
+    bad = program.caller()
+    bad.conn.sendall(rubbish)
+    answer = bad.hear()
+    assert answer and answer.split()[0] not in ("UP", "BUSY") and bad.hear() == ""
+    client.say("M 1")
+    assert there.hear() == "M 1"
+    assert "Traceback" not in program.stop()
+
+
+def test_a_client_that_does_not_read_holds_up_its_server_not_the_proxy(run: Run) -> None:
+    program, _, client, there = stood(run)
+    there.conn.settimeout(2.0)
+    line = b"x" * 1000 + b"\r\n"
+    sent = 0
+    with pytest.raises(TimeoutError):
+        while sent < 200_000_000:
+            sent += there.conn.send(line * 100)
+    status = Path(f"/proc/{program.process.pid}/status").read_text()
+    assert int(status.split("VmRSS:")[1].split()[0]) < 80_000
+    assert client.hear() == "x" * 1000
+
+
+@pytest.mark.parametrize(
+    ("changes", "named"),
+    [
+        ({"listen": None}, "listen"), ({"listen": "here"}, "listen"), ({"listen": "127.0.0.1:0"}, "listen"),
+        ({"discovery": 8500}, "discovery"), ({"seed": "xyz"}, "seed"), ({"name": ""}, "name"),
+        ({"limits": {"sockets": "many"}}, "limits.sockets"), ({"limits": {"sockets": -1}}, "limits.sockets"),
+        ({"limits": []}, "limits"), ({"known": {"seq": 1}}, "known"), ({"known": [1]}, "known"),
+        ({"settings": None}, "settings"), ({"settings": {**SETTINGS, "rules": {}}}, "stop_sending_within_us"),
+        ({"settings": {**SETTINGS, "service_types": []}}, "service_types"),
+        ({"settings": {**SETTINGS, "tick_us": "short"}}, "tick_us"),
+        ({"settings": {**SETTINGS, "balancers": -3}}, "balancers"),
+    ],
+)
+def test_a_bad_key_is_named_and_nothing_starts(run: Run, changes: dict[str, Any], named: str) -> None:
+    program = run(**{"known": told(0, True), **changes})
+    said = program.log()
+    assert program.process.returncode not in (0, None)
+    assert named in said and "Traceback" not in said and said.count("\n") == 1
+
+
+def test_a_file_that_is_missing_or_no_json_and_an_address_in_use_are_said_plainly(
+    run: Run, tmp_path: Path
+) -> None:
+    (tmp_path / "bad.json").write_text('{"name": ')
+    (tmp_path / "list.json").write_text("[]")
+    for path in (None, tmp_path / "none.json", tmp_path / "bad.json", tmp_path / "list.json"):
+        process = start(path)
+        said = process.communicate(timeout=15)[1]
+        assert process.returncode and "ROUTER_CONFIG" in said and "Traceback" not in said
+    taken = socket.create_server(("127.0.0.1", 0))
+    program = run(told(0, True), listen=f"127.0.0.1:{taken.getsockname()[1]}")
+    said = program.log()
+    assert program.process.returncode and "listen" in said and "Traceback" not in said
--- a/tests/test_stories.py
+++ b/tests/test_stories.py
@@ -396,3 +396,47 @@
     assert owner(fake, 7) == owner(other, 7)
     fake.told({}, whole=True)
     assert not fake.come(7).connects and fake.asked("reject")
+
+
+def test_before_a_planned_stop_all_that_stands_or_comes_to_stand_is_moved_one_by_one(fake: Fake) -> None:
+    standing = [fake.stand(fake.come(key)) for key in range(20)]
+    fake.proxy.stop(fake.now)
+    late = fake.stand(fake.come(99))
+    assert fake.asked("move") == []
+    fake.pass_time(TERMS.leave_within / 2)
+    assert 3 < len(fake.asked("move")) < 18
+    fake.pass_time(TERMS.leave_within / 2)
+    assert set(fake.asked("move")) == {*standing, late} and not fake.proxy.members
+
+
+def test_near_the_descriptor_limit_a_flow_is_rejected_at_once_and_what_stands_stays(fake: Fake) -> None:
+    flow = fake.stand(fake.come())
+    fake.free = 0.1
+    fake.come(8)
+    assert len(fake.asked("reject")) == 1 and len(fake.asked("connect")) == 1 and not flow.over
+    fake.free = 0.5
+    fake.come(8)
+    assert len(fake.asked("connect")) == 2
+
+
+def test_a_flow_whose_server_brings_nothing_back_is_moved_and_not_sent_there_again(fake: Fake) -> None:
+    flow = fake.stand(fake.come())
+    fake.proxy.silent(fake.now, flow, TERMS.silence_within / 2)
+    assert fake.asked("move") == []
+    fake.proxy.silent(fake.now, flow, TERMS.silence_within + 0.1)
+    assert fake.asked("move") == [flow]
+    fake.end(flow, End.CANCELLED, complete=True)
+    assert fake.come(returned=True).connects[0].server is not flow.connects[0].server
+
+
+def test_where_no_message_times_are_told_the_own_zone_is_probed_more_often_under_strain() -> None:
+    fake = Fake(measures=True, peers=True)
+    fake.told({"10.0.0.9:80": Condition.READY}, zone="b")
+    fake.pass_time(6.5)
+    probed = [server.id for server in fake.asked("probe")]
+    assert sorted(set(probed)) == [f"10.0.0.{i}:80" for i in range(5)] and len(probed) == 10
+    fake.proxy.message_time_told(fake.now, fake.server("10.0.0.3:80"), 0.2, measured=True)
+    assert fake.asked("tell_peers") == [(fake.server("10.0.0.3:80"), 0.2)]
+    fake.pass_time(2.2)
+    after = [server.id for server in fake.asked("probe")][len(probed) :]
+    assert after.count("10.0.0.3:80") == 2 and after.count("10.0.0.1:80") <= 1
