--- a/tests/test_sockets.py
+++ b/tests/test_sockets.py
@@ -200,14 +200,14 @@
 Balancer.{call} = faulty
 sys.exit(main())
 """
-    server = Server("BUSY" if call == "connect_ended" else "UP r1")
-    program = run(fleet(server), code=code)
+    one, other = (Server("BUSY" if call == "connect_ended" else "UP r1") for _ in range(2))
+    program = run(fleet(one, other), code=code)
     first = program.opening()
     heard = [first.hear()]
     while heard[-1] not in ("", "reset"):
         heard.append(first.hear())
     assert heard[0] == ("UP r1" if call == "established" else "FAIL") and len(heard) == 2
-    server.answer = "UP r1"
+    one.answer = other.answer = "UP r1"
     assert program.opening().hear() == "UP r1"
     said = program.stop()
     assert said.count("fault ValueError") == 1 and "Traceback" not in said
