Lines without an answer count as message times again; a hung server is emptied sooner

Cause: the age of unanswered lines was no longer told (net/proxy.look), and a hung server answers probes at once. Also: legacy log events of Twisted carry their failure under another key, so faults left no line.

--- a/brambleplank/net/proxy.py
+++ b/brambleplank/net/proxy.py
@@ -23,6 +23,7 @@
 
 LOOK = 0.1  # seconds between two looks
 SILENT = 1.0  # seconds after which a line without an answer is spoken of
+TELLING = 1.0  # seconds between two tellings of one server, at least
 LAST_COME = 0.5  # seconds after the call to stop in which clients may still come
 
 
@@ -135,20 +136,34 @@
             self.balancer.load_told(self.now(), link.client.flow, link.number, seconds)
 
     def look(self) -> None:
-        """Tells of connections that bring nothing back."""
+        """Tells of connections that bring nothing back, and of their servers."""
         self.later(LOOK, self.look)
         now = self.now()
+        longest: dict[Reach, float] = {}
         for client in list(self.clients):
             link = client.link
-            if link and not link.over and link.asked and now > link.asked + SILENT and client.flow:
-                self.balancer.silent(now, client.flow, now - link.asked)
+            if link and not link.over and link.asked and client.flow:
+                longest[link.reach] = max(longest.get(link.reach, 0.0), now - link.asked)
+                if now > link.asked + SILENT:
+                    self.balancer.silent(now, client.flow, now - link.asked)
+        for server in list(self.balancer.servers.values()):
+            reach = self.reach(server)
+            reach.waiting = longest.get(reach, 0.0)
+            due = reach.waiting > self.shortest / 3 or (reach.told_long and not reach.delays)
+            if due and now >= reach.told_at + TELLING:
+                self.measured(server, 0.0)
 
     def measured(self, server: Server, seconds: float) -> None:
-        """How long messages take at a server; told while that is long, and once when it no longer is."""
-        reach, long = self.reach(server), seconds > self.shortest / 3
+        """How long messages take at a server; told while that is long, and once when it no longer is.
+
+        Danger: a hung server answers probes at once; lines that it owes an answer to say more.
+        """
+        reach, now = self.reach(server), self.now()
+        seconds = max(seconds, reach.waiting)
+        long = seconds > self.shortest / 3
         if long or reach.told_long:
-            reach.told_long = long
-            self.balancer.message_time_told(self.now(), server, seconds, measured=True)
+            reach.told_long, reach.told_at = long, now
+            self.balancer.message_time_told(now, server, seconds, measured=True)
 
     # What other proxies say.
 
--- a/brambleplank/net/run.py
+++ b/brambleplank/net/run.py
@@ -33,8 +33,9 @@
         return 2
 
     def observe(event: dict[str, Any]) -> None:
-        if "log_failure" in event:
-            proxy.fault(event["log_failure"].value, event["log_failure"].getTracebackObject())
+        failure = event.get("log_failure") or event.get("failure")
+        if failure:
+            proxy.fault(failure.value, failure.getTracebackObject())
 
     observers: list[Any] = [observe]
     globalLogBeginner.beginLoggingTo(observers, discardBuffer=True, redirectStandardIO=False)
--- a/brambleplank/net/servers.py
+++ b/brambleplank/net/servers.py
@@ -31,7 +31,8 @@
         self.name = name
         self.address: tuple[str, int] | None = None
         self.delays: list[float] = []  # of probes, newest last
-        self.told_long = False  # whether messages took long there when last told
+        self.waiting = 0.0  # how long the oldest line there has been without an answer
+        self.told_long, self.told_at = False, 0.0  # whether messages took long when last told, and when
 
 
 class Link(LineReceiver, ClientFactory):
