Pass on an unfinished line at an end; who no longer reads holds no descriptor

Seen while rereading: a half line was dropped when its side ended, and a connection that was to end in a reset waited for ever for a side that does not read (Twisted closes after the flush only).

--- a/brambleplank/net/buffers.py
+++ b/brambleplank/net/buffers.py
@@ -7,7 +7,10 @@
 
 from twisted.internet import main, tcp
 
+from brambleplank.net.loop import reactor
+
 SIZE = 16 * 1024  # several lines of the longest kind
+LINGER = 1.5  # seconds that the other side has to read what is left, and to end its own side
 
 
 class Pool:
@@ -57,10 +60,17 @@
             self.written += count
         return count
 
-    def reset(self) -> None:
-        """Danger: a reset at once would throw away lines that the other side is owed."""
-        self.resetting = True
+    def leave(self, reset: bool) -> None:
+        """Ends the connection in kind once all is flushed.
+
+        Danger: a reset at once would throw away lines that the other side is owed; and one that no longer
+        reads would hold the descriptor for ever.
+        """
+        self.resetting = reset
+        self.unregisterProducer()  # type: ignore[attr-defined]
         self.loseConnection()  # type: ignore[attr-defined]
+        if self.dataBuffer or self._tempDataLen:  # type: ignore[attr-defined]
+            reactor.callLater(LINGER, self.abortConnection)  # type: ignore[attr-defined]
 
     def _closeSocket(self, orderly: bool) -> None:  # noqa: N802
         super()._closeSocket(orderly and not self.resetting)  # type: ignore[misc]
--- a/brambleplank/net/clients.py
+++ b/brambleplank/net/clients.py
@@ -11,7 +11,7 @@
 from twisted.protocols.policies import TimeoutMixin
 from twisted.python.failure import Failure
 
-from brambleplank.net.buffers import Tap
+from brambleplank.net.buffers import LINGER, Tap
 
 if TYPE_CHECKING:
     from brambleplank.decide import Flow, Server
@@ -20,7 +20,6 @@
 
 LONGEST_LINE = 4094  # and its CRLF
 FIRST_LINE_WITHIN = 10.0
-LINGER = 1.0
 EARLY_LINES = 16  # what a client may send ahead of its answer before it is no longer read
 OPEN = re.compile(rb"OPEN ([0-9a-zA-Z_.:-]{1,64}) ([!-~]{1,128}) ([!-~]{1,3500})")
 
@@ -110,7 +109,7 @@
         self.done = code
         self.proxy.ended(self)
         if reset:
-            self.transport.reset()
+            self.transport.leave(reset=True)
             return
         if last:
             self.sendLine(last)
@@ -139,6 +138,8 @@
         self.setTimeout(None)
         self.proxy.opened(-1)
         if not self.done:
+            if self.link and not self.link.over:
+                self.link.transport.write(self.clearLineBuffer())  # a line that it left unfinished
             clean = reason.check(ConnectionDone) is not None
             if self.line:
                 self.done = ("closed" if clean else "reset") if self.link else "left"
--- a/brambleplank/net/servers.py
+++ b/brambleplank/net/servers.py
@@ -136,11 +136,7 @@
         self.over = True
         self.cancel()
         if self.transport is not None:
-            self.transport.unregisterProducer()
-            if reset:
-                self.transport.reset()
-            else:
-                self.transport.loseConnection()
+            self.transport.leave(reset)
         elif self.connector is not None:
             self.connector.disconnect()
 
@@ -150,6 +146,7 @@
             return
         clean = reason.check(ConnectionDone) is not None
         if self.up:
+            self.client.transport.write(self.clearLineBuffer())  # a line that it left unfinished
             self.end(LAST_WORDS.get(self.last, End.RESET), not clean)
         else:
             self.end(End.RESET if self.written() else End.UNREACHABLE)
--- a/tests/test_sockets.py
+++ b/tests/test_sockets.py
@@ -175,8 +175,12 @@
     assert client.hear() == "UP r1"
     there = server.next()[1]
     there.say("the last line")
+    there.conn.sendall(b"and half")
+    there.say("")
+    there.conn.sendall(b"a line")
+    assert (client.hear(), client.hear()) == ("the last line", "and half")
     there.end(reset)
-    assert client.hear() == "the last line" and client.hear() == ("reset" if reset else "")
+    assert client.hear() == ("reset" if reset else "a line")
     assert "end broke" in program.stop()
 
 
