--- a/brambleplank/host.py
+++ b/brambleplank/host.py
@@ -1,6 +1,6 @@
 """The interface between the decisions and whatever carries them.
 
-A host (the simulator's wire today, a proxy's sockets later) makes one `decide.Balancer` for each proxy and
+A host (the simulator's wire, or a proxy's sockets) makes one `decide.Balancer` for each proxy and
 calls in; the balancer calls out through `Host`. All times are seconds with fractions, `now` included. Flows
 and servers are objects on both sides: the host keeps whatever ids its protocol has, and hands over the one id
 that decides something, the server's, in the list. Each call in carries `now`; calls out take effect at it.
--- a/brambleplank/net/discovery.py
+++ b/brambleplank/net/discovery.py
@@ -21,7 +21,7 @@
 if TYPE_CHECKING:
     from brambleplank.net.proxy import Proxy
 
-SILENT_AFTER = 5.0  # two empty-line periods and a little
+SILENT_AFTER = 4.3  # seconds: two empty-line periods and a little
 CONDITIONS = {"ready": Condition.READY, "draining": Condition.DRAINING, "gone": Condition.GONE}
 
 Entry = tuple[str, str, int, Condition, float, float]
