--- a/brambleplank/net/probes.py
+++ b/brambleplank/net/probes.py
@@ -12,6 +12,7 @@
 from twisted.protocols.basic import LineReceiver
 from twisted.python.failure import Failure
 
+from brambleplank.host import Condition
 from brambleplank.net.buffers import Dialer
 from brambleplank.net.loop import reactor
 
@@ -89,6 +90,12 @@
             # Danger: a dead machine answers nothing and ends nothing; the probe would wait for ever.
             probe.connector.disconnect()
 
+    def keep_to_ready(self) -> None:
+        """Danger: a machine that is gone ends nothing, and its probe would hold a descriptor for ever."""
+        for server, probe in list(self.open.items()):
+            if server.condition is not Condition.READY:
+                probe.connector.disconnect()
+
     def took(self, probe: Probe, delay: float) -> None:
         delays = self.proxy.reach(probe.server).delays
         delays[:] = [*delays[1 - KEPT :], delay]
--- a/brambleplank/net/proxy.py
+++ b/brambleplank/net/proxy.py
@@ -178,6 +178,7 @@
         for server_id, where in addresses.items():
             self.reach(self.balancer.record(now, server_id)).address = where
         self.balancer.list_told(now, entries, whole)
+        self.probes.keep_to_ready()
         self.serving = self.serving or bool(self.balancer.ready)
 
     def list_failed(self, why: str) -> None:
