--- a/brambleplank/decide.py
+++ b/brambleplank/decide.py
@@ -557,7 +557,8 @@
         Danger: where nobody tells how long messages take, a server with too much looks like any other.
         """
         for server in self.ready:
-            due = NEWS_PERIOD if now < server.slow_until else 3 * NEWS_PERIOD
+            known = now >= max(server.slow_until, self.begun + 4 * NEWS_PERIOD)
+            due = 3 * NEWS_PERIOD if known else NEWS_PERIOD
             if server.zone == self.terms.zone and now >= server.probed_at + due:
                 server.probed_at = now
                 self.host.probe(server)
--- a/tests/test_stories.py
+++ b/tests/test_stories.py
@@ -429,14 +429,14 @@
     assert fake.come(returned=True).connects[0].server is not flow.connects[0].server
 
 
-def test_where_no_message_times_are_told_the_own_zone_is_probed_more_often_under_strain() -> None:
+def test_where_no_message_times_are_told_the_own_zone_is_probed_more_often_first_and_under_strain() -> None:
     fake = Fake(measures=True, peers=True)
     fake.told({"10.0.0.9:80": Condition.READY}, zone="b")
     fake.pass_time(6.5)
     probed = [server.id for server in fake.asked("probe")]
-    assert sorted(set(probed)) == [f"10.0.0.{i}:80" for i in range(5)] and len(probed) == 10
+    assert sorted(set(probed)) == [f"10.0.0.{i}:80" for i in range(5)] and len(probed) == 20
     fake.proxy.message_time_told(fake.now, fake.server("10.0.0.3:80"), 0.2, measured=True)
     assert fake.asked("tell_peers") == [(fake.server("10.0.0.3:80"), 0.2)]
-    fake.pass_time(2.2)
+    fake.pass_time(2.2)  # in the first four seconds they were probed each second
     after = [server.id for server in fake.asked("probe")][len(probed) :]
     assert after.count("10.0.0.3:80") == 2 and after.count("10.0.0.1:80") <= 1
