--- a/tests/test_sockets.py
+++ b/tests/test_sockets.py
@@ -298,6 +298,19 @@
     assert "Traceback" not in program.stop()
 
 
+def test_near_the_descriptor_limit_flows_are_rejected_and_what_stands_goes_on(run: Run) -> None:
+    program = run(fleet(Server()), limits={"sockets": 64})
+    standing: list[Line] = []
+    while (caller := program.opening()).hear() == "UP r1":
+        standing.append(caller)
+        assert len(standing) < 32
+    assert len(standing) >= 16
+    standing.pop().end()
+    while (caller := program.opening()).hear() != "UP r1":
+        assert caller.hear() == ""
+    assert program.stop().count("end moved") == len(standing) + 1
+
+
 def test_a_client_that_does_not_read_holds_up_its_server_not_the_proxy(run: Run) -> None:
     program, _, client, there = stood(run)
     there.conn.settimeout(2.0)
