SIGHUP reads the file again and turns to discovery's new address; it no longer ends the proxy

Nothing in net/run handled the signal; net/start let ROUTER_DISCOVERY go before the file, and net/discovery built its URL once. Now the file is read by the code of the start; discovery, limits.sockets and peers are taken up, other changed keys are named, a bad file is named by its key. The whole list is asked for at the new address; an older one there is held for 2.5 s. Three stories fail without it (program ends).

--- a/brambleplank/net/discovery.py
+++ b/brambleplank/net/discovery.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+from math import inf
 from typing import TYPE_CHECKING, Any
 
 from twisted.internet import defer
@@ -21,6 +22,7 @@
 if TYPE_CHECKING:
     from brambleplank.net.proxy import Proxy
 
+CATCHING_UP = 2.5  # seconds in which discovery at a new address may still be behind what is held
 SILENT_AFTER = 4.3  # seconds: two empty-line periods and a little
 CONDITIONS = {"ready": Condition.READY, "draining": Condition.DRAINING, "gone": Condition.GONE}
 
@@ -106,41 +108,68 @@
 
     def __init__(self, proxy: Proxy, address: tuple[str, int]) -> None:
         self.proxy = proxy
-        self.agent = Agent.usingEndpointFactory(reactor, Straight(address))
-        self.url = b"http://%s:%d/discovery/hosts?watch=1" % (address[0].encode(), address[1])
-        self.version: int | None = None
+        self.version: int | None = None  # as told at this address; None: the whole list is asked for
+        self.newest = 0  # of what was taken up, wherever it was told
+        self.moved_at = -inf
         self.asking: defer.Deferred[Any] | None = None
         self.watch: Watch | None = None
+        self.at(address)
+
+    def at(self, address: tuple[str, int]) -> None:
+        self.agent = Agent.usingEndpointFactory(reactor, Straight(address))
+        self.url = b"http://%s:%d/discovery/hosts?watch=1" % (address[0].encode(), address[1])
+
+    def turn_to(self, address: tuple[str, int]) -> None:
+        """Discovery is elsewhere now: nothing more is heard from where it was, the list held stays good.
+
+        Danger: versions need not count alike there, and a change missed on the way would stay missed; so the
+        whole list is asked for.
+        """
+        self.drop()
+        asking, self.asking = self.asking, None
+        if asking:
+            asking.cancel()
+        self.at(address)
+        self.version, self.moved_at = None, self.proxy.now()
+        self.follow()
+
+    def drop(self) -> None:
+        watch, self.watch = self.watch, None
+        if watch is not None:
+            watch.setTimeout(None)
+            if watch.transport is not None:
+                watch.transport.loseConnection()
 
     def follow(self) -> None:
         if self.asking or self.watch:
             return
         url = self.url + (b"" if self.version is None else b"&from=%d" % self.version)
-        self.asking = self.agent.request(b"GET", url)
-        self.asking.addTimeout(SILENT_AFTER, reactor)
-        self.asking.addCallbacks(self.answered, self.failed)
+        asked = self.asking = self.agent.request(b"GET", url)
+        asked.addTimeout(SILENT_AFTER, reactor)
+        asked.addCallbacks(self.answered, self.failed, callbackArgs=(asked,), errbackArgs=(asked,))
 
-    def answered(self, response: Any) -> None:
-        self.asking = None
+    def answered(self, response: Any, asked: defer.Deferred[Any]) -> None:
+        if asked is not self.asking:
+            response.deliverBody(Unread())
+            return
         if response.code != 200:
             response.deliverBody(Unread())
-            self.failed(f"status {response.code}")
+            self.failed(f"status {response.code}", asked)
             return
+        self.asking = None
         self.watch = Watch(self)
         response.deliverBody(self.watch)
 
-    def failed(self, why: Failure | str) -> None:
+    def failed(self, why: Failure | str, asked: defer.Deferred[Any]) -> None:
+        if asked is not self.asking:
+            return  # it was called off, or asked where discovery no longer is
         self.asking = None
         self.proxy.list_failed(why if isinstance(why, str) else type(why.value).__name__)
 
     def broke(self, why: str) -> None:
-        watch, self.watch = self.watch, None
-        if watch is None:
-            return
-        watch.setTimeout(None)
-        if watch.transport is not None:
-            watch.transport.loseConnection()
-        self.proxy.list_failed(why)
+        if self.watch is not None:
+            self.drop()
+            self.proxy.list_failed(why)
 
     def heard(self, line: bytes) -> None:
         if self.watch is None:
@@ -154,4 +183,17 @@
             self.broke(f"garbled: {error}")
             return
         self.version = version
+        if version < self.newest and self.proxy.now() < self.moved_at + CATCHING_UP:
+            # Danger: at another address an older list may be told first; taken up, it would bring back
+            # servers that are known to drain. If it stays behind, versions count otherwise there: it holds.
+            self.proxy.later(self.moved_at + CATCHING_UP - self.proxy.now(), self.caught_up, self.watch)
+            return
+        self.newest = version
         self.proxy.list_told(entries, addresses, whole)
+
+    def caught_up(self, watch: Watch) -> None:
+        """Still behind after a move: the whole list is asked for again, and taken as it is."""
+        if watch is self.watch and self.version is not None and self.version < self.newest:
+            self.drop()
+            self.version = None
+            self.follow()
--- a/brambleplank/net/peers.py
+++ b/brambleplank/net/peers.py
@@ -18,6 +18,9 @@
 
     def __init__(self, proxy: Proxy, all_others: tuple[str, int], known: list[tuple[str, int]]) -> None:
         self.proxy = proxy
+        self.reach(all_others, known)
+
+    def reach(self, all_others: tuple[str, int], known: list[tuple[str, int]]) -> None:
         self.all_others = all_others
         self.known = frozenset(known)
 
--- a/brambleplank/net/proxy.py
+++ b/brambleplank/net/proxy.py
@@ -19,7 +19,7 @@
 from brambleplank.net.peers import Peers
 from brambleplank.net.probes import Probes
 from brambleplank.net.servers import Link, Reach
-from brambleplank.net.start import Told
+from brambleplank.net.start import LIVE, UNREAD, Told, UnfitError, changed, read
 
 LOOK = 0.1  # seconds between two looks
 SILENT = 1.0  # seconds after which a line without an answer is spoken of
@@ -32,6 +32,7 @@
         # One clock: Unix time, since servers' starts are told in it, but never set back.
         self.anchor = time.time() - time.monotonic()
         self.log_lines = Log(self.now)
+        self.told = told
         self.terms = told.terms
         self.descriptors, self.in_use = told.descriptors, 16
         self.balancer = Balancer(self, self.terms, told.seed)
@@ -45,6 +46,7 @@
         self.clients: dict[Client, None] = {}
         self.shortest = min(kind.message_target for kind in self.terms.service_types.values())
         self.discovery.version, _, entries, addresses = list_of(told.known)
+        self.discovery.newest = self.discovery.version or 0
         self.list_told(entries, addresses, True)
         self.later(LOOK, self.look)
 
@@ -256,6 +258,29 @@
         at = f"{where.filename.rsplit('/', 1)[-1]}:{where.lineno}" if where else "-"
         self.log_lines.say(f"fault {type(error).__name__} at {at}: {error}")
 
+    def read_again(self) -> None:
+        """SIGHUP: what can change while flows stand is taken up; what stands is not touched.
+
+        Danger: a torn or wrong file must cost nothing; the values held stay good.
+        """
+        try:
+            told = read(self.told)
+        except UnfitError as unfit:
+            self.log_lines.say(f"reload: kept as it was: {unfit}")
+            return
+        keys = [key for key in changed(self.told.file, told.file) if key not in UNREAD]
+        waits = [key for key in keys if key not in LIVE]
+        self.log_lines.say(
+            f"reload: taken up: {', '.join(key for key in keys if key in LIVE) or 'nothing'}"
+            + (f"; wait for a restart: {', '.join(waits)}" if waits else "")
+        )
+        self.descriptors = told.descriptors
+        if self.peers:
+            self.peers.reach(told.peers_all, told.peers)
+        if told.discovery != self.told.discovery:
+            self.discovery.turn_to(told.discovery)
+        self.told = told
+
     def stop(self) -> None:
         """SIGTERM: the proxy empties, then the program ends."""
         if self.stopping:
--- a/brambleplank/net/run.py
+++ b/brambleplank/net/run.py
@@ -19,6 +19,7 @@
 
 
 def main() -> int:
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)  # Danger: one that comes before all is set up would end it.
     try:
         told = start.read()
         proxy = Proxy(told)
@@ -40,5 +41,6 @@
     observers: list[Any] = [observe]
     globalLogBeginner.beginLoggingTo(observers, discardBuffer=True, redirectStandardIO=False)
     signal.signal(signal.SIGTERM, lambda *_: reactor.callFromThread(proxy.stop))
+    signal.signal(signal.SIGHUP, lambda *_: reactor.callFromThread(proxy.read_again))
     reactor.run(installSignalHandlers=False)
     return 0
--- a/brambleplank/net/start.py
+++ b/brambleplank/net/start.py
@@ -1,4 +1,4 @@
-"""The one place where configuration is read, checked and given defaults."""
+"""The one place where configuration is read, checked and given defaults: at the start, and on SIGHUP."""
 
 from __future__ import annotations
 
@@ -12,6 +12,8 @@
 from brambleplank.terms import EFFECTS, terms_of
 
 FEWEST_DESCRIPTORS = 64
+LIVE = ("discovery", "limits.sockets", "peers", "peers_all")  # what SIGHUP changes; the rest takes a restart
+UNREAD = ("limits.cores", "limits.memory_mb")
 KINDS = {
     dict: "an object", list: "a list", str: "a word", bool: "true or false", int: "a whole number",
     float: "a number",
@@ -36,7 +38,7 @@
 
 @dataclass(frozen=True)
 class Told:
-    """What this proxy was told at its start."""
+    """What this proxy was told at its start, or by SIGHUP."""
 
     name: str
     listen: tuple[str, int]
@@ -48,6 +50,7 @@
     peers: list[tuple[str, int]]
     known: dict[str, Any]
     terms: Terms
+    file: dict[str, Any]  # as it was read
 
 
 def address(text: Any, key: str) -> tuple[str, int]:
@@ -57,7 +60,7 @@
     return host, int(port)
 
 
-def read() -> Told:
+def read(before: Told | None = None) -> Told:
     path = os.environ.get("ROUTER_CONFIG")
     if not path:
         raise UnfitError("ROUTER_CONFIG: not set; it names the configuration file")
@@ -66,14 +69,24 @@
             told = json.load(file)
     except OSError as error:
         raise UnfitError(f"ROUTER_CONFIG: cannot read {path}: {error.strerror}") from None
-    except ValueError as error:
+    except (ValueError, RecursionError) as error:
         raise UnfitError(f"ROUTER_CONFIG: {path} is not JSON: {error}") from None
     if not isinstance(told, dict):
         raise UnfitError(f"ROUTER_CONFIG: {path} holds no JSON object")
-    return check(told)
+    return check(told, before)
 
 
-def check(told: dict[str, Any]) -> Told:
+def changed(before: Any, now: Any, key: str = "") -> list[str]:
+    """The keys whose values differ, in the file's own words."""
+    if not isinstance(before, dict) or not isinstance(now, dict):
+        return [key] if before != now else []
+    return [
+        each for name in {**before, **now}
+        for each in changed(before.get(name), now.get(name), f"{key}.{name}" if key else name)
+    ]
+
+
+def check(told: dict[str, Any], before: Told | None = None) -> Told:
     name = os.environ.get("ROUTER_NAME") or told.get("name")
     if not isinstance(name, str) or not name:
         raise UnfitError("name: need a word")
@@ -94,6 +107,11 @@
         raise UnfitError(f"known: not a list of servers: {error}") from None
     check_settings(told.get("settings"))
     terms = terms_of(told["settings"], sockets=True)
+    where = os.environ.get("ROUTER_DISCOVERY") or told.get("discovery")
+    if before:
+        # Danger: the environment stays as it was at the start, and would hide what the file says now.
+        moved = told.get("discovery") != before.file.get("discovery")
+        where = told.get("discovery") if moved else ":".join(map(str, before.discovery))
     talks = terms.peers and told.get("peer_listen") is not None
     peers = told.get("peers", [])
     if not isinstance(peers, list):
@@ -101,7 +119,7 @@
     return Told(
         name=name,
         listen=address(os.environ.get("ROUTER_LISTEN") or told.get("listen"), "listen"),
-        discovery=address(os.environ.get("ROUTER_DISCOVERY") or told.get("discovery"), "discovery"),
+        discovery=address(where, "discovery"),
         seed=seed,
         descriptors=descriptors,
         peer_listen=address(told["peer_listen"], "peer_listen") if talks else None,
@@ -109,6 +127,7 @@
         peers=[address(peer, "peers") for peer in peers],
         known=known,
         terms=terms,
+        file=told,
     )
 
 
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -269,9 +269,10 @@
             "limits": {"cores": 1.0, "memory_mb": 256, "sockets": 256}, "known": known, "settings": SETTINGS,
             **changes,
         }
-        path = folder / "config.json"
-        path.write_text(json.dumps(config))
-        self.process = start(path, code)
+        self.config, self.path = config, folder / "config.json"
+        self.path.write_text(json.dumps(config))
+        self.process = start(self.path, code)
+        self.lines: list[str] = []
 
     def caller(self, line: str = "") -> Line:
         until = time.monotonic() + PATIENCE
@@ -288,9 +289,26 @@
     def opening(self, key: str = "7f", d: int = 1500, kind: str = "feed", more: str = "") -> Line:
         return self.caller(f"OPEN 9b1f03aa5c7e2d41 {key} c={kind},t=acme,d={d}{more}")
 
+    def read_again(self, text: str = "", **changes: Any) -> str:
+        """What it says of SIGHUP, with a changed file, or with whatever text in its place."""
+        self.config.update(changes)
+        self.path.write_text(text or json.dumps(self.config))
+        self.process.send_signal(signal.SIGHUP)
+        return self.line("reload: ")
+
+    def line(self, word: str) -> str:
+        """The next line of its log that holds the word; those before it are kept."""
+        assert self.process.stderr
+        while word not in (self.lines or [""])[-1]:
+            self.lines.append(self.process.stderr.readline())
+            assert self.lines[-1], self.lines
+        found = self.lines[-1]
+        self.lines.append("")
+        return found
+
     def log(self) -> str:
         """All it has written; it has ended."""
-        return self.process.communicate(timeout=PATIENCE)[1]
+        return "".join(self.lines) + self.process.communicate(timeout=PATIENCE)[1]
 
     def stop(self) -> str:
         self.process.send_signal(signal.SIGTERM)
--- a/tests/test_sockets.py
+++ b/tests/test_sockets.py
@@ -153,6 +153,63 @@
     assert "list: " in program.stop()
 
 
+def test_sighup_turns_to_the_new_discovery_and_no_old_answer_counts_while_flows_stand(run: Run) -> None:
+    program, server, client, there = stood(run)
+    _, old = program.discovery.watch()
+    for turn in range(3):  # each time the address is another one, and the file as a whole is written anew
+        new = Discovery()
+        assert "taken up: discovery\n" in program.read_again(discovery=new.address)
+        first, watch = new.watch()
+        assert first == "GET /discovery/hosts?watch=1 HTTP/1.1"
+        with suppress(OSError):
+            Discovery.tell(old, json.dumps(told(90 + turn, True)))
+        Discovery.tell(watch, json.dumps(told(42 + turn, True, s0=server.dial)))
+        old = watch
+        client.say("M 1")
+        assert there.hear() == "M 1"
+        assert program.opening().hear() == "UP r1"
+    said = program.stop().partition("stop: ")[0]
+    assert "list: " not in said and "fault" not in said
+
+
+def test_an_older_list_at_a_new_address_is_taken_up_only_if_it_stays_behind(run: Run) -> None:
+    one, other = Server(), Server("UP r2")
+    program = run(fleet(one, other))
+    new = Discovery()
+    program.opening().hear()
+    _, old = program.discovery.watch()
+    Discovery.tell(old, json.dumps(told(50, True, s0=(one.dial, "draining"), s1=other.dial)))
+    while program.opening("ab").hear() != "UP r2":
+        pass
+    program.read_again(discovery=new.address)
+    _, watch = new.watch()
+    before = one.count
+    Discovery.tell(watch, json.dumps(fleet(one)))
+    assert [program.opening(key).hear() for key in "abcdefgh"] == ["UP r2"] * 8 and one.count == before
+    again, watch = new.watch()
+    assert "from" not in again
+    Discovery.tell(watch, json.dumps(fleet(one)))
+    while program.opening("ab").hear() != "UP r1":
+        pass
+
+
+def test_a_torn_or_wrong_new_file_is_named_by_its_key_and_the_old_values_stay(run: Run) -> None:
+    program, _, client, there = stood(run)
+    program.discovery.watch()
+    assert "is not JSON" in program.read_again('{"name": ')
+    assert "discovery: need an address" in program.read_again(discovery="nowhere")
+    assert "limits.sockets: need" in program.read_again(discovery="127.0.0.1:9", limits={"sockets": "many"})
+    program.config["discovery"] = program.discovery.address
+    said = program.read_again(limits={"sockets": 300}, name="n2", seed="2f")
+    assert "taken up: limits.sockets; wait for a restart: name, seed" in said
+    client.say("M 1")
+    assert there.hear() == "M 1"
+    program.process.send_signal(signal.SIGTERM)
+    assert "is not JSON" in program.read_again("[")
+    program.log()
+    assert program.process.returncode == 0 and program.discovery.asked.empty()
+
+
 def test_sigterm_moves_what_stands_answers_who_still_comes_and_ends_with_zero(run: Run) -> None:
     program, server, client, there = stood(run)
     program.process.send_signal(signal.SIGTERM)
