A door for bad clients: lines in form only, used ids refused, who stands about is shown out

A trace of every line showed why: connections that said nothing, or PING alone, stood for 10 s and more (FIRST_LINE_WITHIN in net/clients, and PING renewed it); 'd' of 23 digits and copies of ids of usual flows went to servers, whose ERR set them aside and narrowed the gate. Copies came only at the proxy of the original, up to a second after it had ended. No client sent lines ahead of its answer. Now net/opening checks each field, net/door keeps used ids and shows out the oldest without a line from three quarters of the descriptors on; beyond that connections wait in the kernel. at= holds for 40 s and listed servers. Timers wait for the reads due after a stall. Early clients are told as moot where nothing was written.

--- a/brambleplank/host.py
+++ b/brambleplank/host.py
@@ -55,6 +55,7 @@
     group: str  # "all", "zone" or "cell": the servers that drop repeats of a referenced flow
     window: float
     message_target: float  # for a message on an established connection
+    connect_timeout: float  # the longest that a client waits
 
 
 @dataclass(frozen=True)
@@ -84,6 +85,7 @@
     groups: bool  # whether a flow names the group that it shares work with
     tells_load: bool
     service_types: dict[str, ServiceType]
+    tenants: frozenset[str]  # by name; none at sites without
 
 
 class Host(Protocol):
--- a/brambleplank/net/buffers.py
+++ b/brambleplank/net/buffers.py
@@ -105,7 +105,25 @@
 
 
 class Listener(tcp.Port):
+    """Lets in as many as its factory has room for; the others wait in the kernel."""
+
     transport = Incoming
+    held = False
+    factory: Any
+
+    def doRead(self) -> None:  # noqa: N802
+        room = self.factory.room()
+        if room <= 0:
+            self.held = True
+            self.stopReading()
+            return
+        self.numberAccepts = min(self.numberAccepts, room)
+        super().doRead()
+
+    def resume(self) -> None:
+        self.held = False
+        if not self.disconnecting and self.connected:
+            self.startReading()
 
 
 class Dialer(tcp.Connector):
--- a/brambleplank/net/clients.py
+++ b/brambleplank/net/clients.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import re
 from typing import TYPE_CHECKING, Any
 
 from twisted.internet.error import ConnectionDone
@@ -11,6 +10,7 @@
 from twisted.protocols.policies import TimeoutMixin
 from twisted.python.failure import Failure
 
+from brambleplank.net import opening
 from brambleplank.net.buffers import LINGER, Tap
 
 if TYPE_CHECKING:
@@ -19,17 +19,10 @@
     from brambleplank.net.servers import Link
 
 LONGEST_LINE = 4094  # and its CRLF
-FIRST_LINE_WITHIN = 10.0
-EARLY_LINES = 16  # what a client may send ahead of its answer before it is no longer read
-OPEN = re.compile(rb"OPEN ([0-9a-zA-Z_.:-]{1,64}) ([!-~]{1,128}) ([!-~]{1,3500})")
-
-
-def number(text: str) -> int:
-    """A key as a number, the same at every proxy, whatever form it has."""
-    try:
-        return int(text, 16)
-    except ValueError:
-        return int.from_bytes(text.encode(), "big")
+FIRST_LINE_WITHIN = 2.0  # seconds from its connection to its whole OPEN; it sends that as it connects
+READ_ON = 64 * 1024  # bytes that are still read of a client that has had its last line
+SHORT_LINGER = 0.3  # seconds to read the answer, for a client that keeps to no protocol
+TURNED_AWAY = frozenset(("garbled", "early", "copied", "idle", "crowded", "silent", "pinged"))
 
 
 class Client(LineReceiver, TimeoutMixin):
@@ -41,54 +34,63 @@
     def __init__(self, proxy: Proxy) -> None:
         self.proxy = proxy
         self.line = b""  # its OPEN
+        self.id = ""  # as OPEN has it, once that was taken
         self.came = 0.0
+        self.past = 0  # bytes read after its last line
         self.flow: Flow | None = None
         self.links: list[Link] = []  # its connects, in the order made
         self.link: Link | None = None  # the one that is established
         self.at: tuple[str, int, int | None, Server] | None = None  # it stood at that server before the start
-        self.early: list[bytes] = []
         self.pinged = False
         self.done = ""  # the reason code of the end, once there is one
 
     def connectionMade(self) -> None:  # noqa: N802
         self.transport.setTcpNoDelay(True)
         self.proxy.opened(1)
+        self.proxy.door.came(self)
         self.setTimeout(FIRST_LINE_WITHIN)
 
+    def dataReceived(self, data: bytes) -> None:  # noqa: N802
+        if not self.line and not self.pinged and not self.done and not self._buffer:
+            start = bytes(data[:5])
+            if not (b"OPEN ".startswith(start) or b"PING\r".startswith(start)):
+                self.finish("garbled", b"ERR")
+        super().dataReceived(data)
+
+    def rawDataReceived(self, data: bytes) -> None:  # noqa: N802
+        """What comes after its last line. Danger: one that goes on sending would be read for ever."""
+        self.past += len(data)
+        if self.past > READ_ON:
+            self.transport.pauseProducing()
+
     def lineReceived(self, line: bytes) -> None:  # noqa: N802
         if self.done:
             return
         if self.link:
             self.link.pass_on(line)
         elif self.line:
-            self.early.append(line)
-            if len(self.early) >= EARLY_LINES:
-                self.transport.pauseProducing()
+            # Danger: passed on once it is UP, what no client says would make its server look broken.
+            self.proxy.left(self, False)
+            self.finish("early", b"ERR")
         elif line == b"PING":
             self.pinged = True
             self.sendLine(b"PONG" if self.proxy.serving and not self.proxy.stopping else b"NO")
-            self.resetTimeout()
         else:
             self.begin(line)
 
     def begin(self, line: bytes) -> None:
-        match = OPEN.fullmatch(line)
-        if not match:
-            self.finish("garbled", b"SYNTAX")
+        opened = opening.read(line, self.proxy.terms)
+        if not opened:
+            self.finish("garbled", b"ERR")
             return
-        fields: dict[str, str] = {}
-        for field in match[3].decode().split(","):
-            name, _, value = field.partition("=")
-            fields[name] = value
-        self.setTimeout(None)
-        self.came = self.proxy.now()
-        self.line = line
-        wait = fields.get("d", "0" if "at" in fields else "")
-        if not wait.isdigit() or not self.proxy.serves(fields):
-            self.finish("garbled", b"SYNTAX")
+        flow_id, key, fields = opened
+        if not self.proxy.door.opened(self, flow_id):
+            # Danger: a server that holds the flow of that id would answer a copy of it with an error.
+            self.finish("copied", b"ERR")
             return
-        key = number(match[2].decode())
-        self.proxy.guarded(self, self.proxy.came, self, key, int(wait) / 1000, fields)
+        self.setTimeout(None)
+        self.id, self.came, self.line = flow_id, self.proxy.now(), line
+        self.proxy.guarded(self, self.proxy.came, self, key, fields)
 
     def stand(self, link: Link, line: bytes) -> None:
         """A server has answered UP: all lines go through from here on."""
@@ -96,11 +98,6 @@
         self.transport.registerProducer(Tap(link.transport), True)
         link.transport.registerProducer(Tap(self.transport), True)
         self.sendLine(line)
-        for held in self.early:
-            link.pass_on(held)
-        if len(self.early) >= EARLY_LINES:
-            self.transport.resumeProducing()
-        self.early = []
 
     def finish(self, code: str, last: bytes = b"", reset: bool = False) -> None:
         """Ends the connection, by a last line or none, and writes its line to the log."""
@@ -108,8 +105,10 @@
             return
         self.done = code
         self.proxy.ended(self)
-        if reset:
-            self.transport.leave(reset=True)
+        self.proxy.door.answered(self)
+        self.setRawMode()
+        if reset or code == "idle":
+            self.transport.leave(reset)
             return
         if last:
             self.sendLine(last)
@@ -117,14 +116,24 @@
         self.transport.unregisterProducer()
         self.transport.loseWriteConnection()
         self.transport.resumeProducing()
-        self.setTimeout(LINGER)
+        self.setTimeout(SHORT_LINGER if code in TURNED_AWAY else LINGER)
 
     def timeoutConnection(self) -> None:  # noqa: N802
         if self.done:
             self.transport.abortConnection()
         else:
+            # Danger: after a stall of this process its line may be here, and only unread.
+            self.proxy.after_reads(0.0, self.too_late)
+
+    def too_late(self) -> None:
+        if not self.line:
             self.finish("idle")
 
+    def show_out(self) -> None:
+        """There is no room for it to stand about."""
+        self.finish("crowded", b"BUSY")
+        self.transport.loseConnection()
+
     def lineLengthExceeded(self, line: bytes) -> None:  # noqa: N802
         if self.done:
             return
@@ -132,7 +141,7 @@
             self.proxy.left(self, True)
             self.finish("garbled", reset=True)
         else:
-            self.finish("garbled", b"SYNTAX")
+            self.finish("garbled", b"ERR")
 
     def connectionLost(self, reason: Failure) -> None:  # type: ignore[override] # noqa: N802
         self.setTimeout(None)
@@ -148,6 +157,7 @@
             self.proxy.left(self, not clean)
             self.proxy.ended(self)
         self.proxy.clients.pop(self, None)
+        self.proxy.door.gone(self)
 
 
 class Clients(Factory):
@@ -159,3 +169,5 @@
     def buildProtocol(self, addr: object) -> Client:  # noqa: N802
         return Client(self.proxy)
 
+    def room(self) -> int:
+        return self.proxy.door.room()
--- a/brambleplank/net/log.py
+++ b/brambleplank/net/log.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable
 
 LINES_A_SECOND = 200
+TURNED_AWAY = 20  # of these, what clients that were turned away may take
 
 
 class Log:
@@ -14,15 +15,16 @@
     def __init__(self, clock: Callable[[], float]) -> None:
         self.clock = clock
         self.second = 0
-        self.printed = self.dropped = 0
+        self.printed = self.dropped = self.turned_away = 0
 
-    def say(self, text: str) -> None:
+    def say(self, text: str, turned_away: bool = False) -> None:
         now = self.clock()
         if int(now) != self.second:
             if self.dropped:
                 print(f"{now:.3f} log: {self.dropped} lines dropped", file=sys.stderr, flush=True)
-            self.second, self.printed, self.dropped = int(now), 0, 0
-        if self.printed >= LINES_A_SECOND:
+            self.second, self.printed, self.dropped, self.turned_away = int(now), 0, 0, 0
+        self.turned_away += turned_away
+        if self.printed >= LINES_A_SECOND or (turned_away and self.turned_away > TURNED_AWAY):
             self.dropped += 1
             return
         self.printed += 1
--- a/brambleplank/net/proxy.py
+++ b/brambleplank/net/proxy.py
@@ -11,9 +11,10 @@
 from twisted.internet.base import DelayedCall
 
 from brambleplank.decide import Balancer, Flow, Server
-from brambleplank.host import End
-from brambleplank.net.clients import Client, number
+from brambleplank.host import Condition, End
+from brambleplank.net.clients import TURNED_AWAY, Client
 from brambleplank.net.discovery import Discovery, Entry, list_of
+from brambleplank.net.door import Door
 from brambleplank.net.log import Log
 from brambleplank.net.loop import reactor
 from brambleplank.net.peers import Peers
@@ -24,6 +25,7 @@
 LOOK = 0.1  # seconds between two looks
 SILENT = 1.0  # seconds after which a line without an answer is spoken of
 TELLING = 1.0  # seconds between two tellings of one server, at least
+TAKE_UP = 40.0  # seconds after the start in which connections from before it are taken up
 LAST_COME = 0.5  # seconds after the call to stop in which clients may still come
 
 
@@ -31,10 +33,12 @@
     def __init__(self, told: Told) -> None:
         # One clock: Unix time, since servers' starts are told in it, but never set back.
         self.anchor = time.time() - time.monotonic()
+        self.started = self.now()
         self.log_lines = Log(self.now)
         self.told = told
         self.terms = told.terms
         self.descriptors, self.in_use = told.descriptors, 16
+        self.door = Door(self)
         self.balancer = Balancer(self, self.terms, told.seed)
         self.discovery = Discovery(self, told.discovery)
         self.probes = Probes(self)
@@ -53,31 +57,44 @@
     def now(self) -> float:
         return self.anchor + time.monotonic()
 
-    def later(self, delay: float, call: Callable[..., None], *what: Any) -> DelayedCall:
+    def later(self, delay: float, call: Callable[..., object], *what: Any) -> DelayedCall:
         call_made: DelayedCall = reactor.callLater(max(0.0, delay), call, *what)
         return call_made
 
+    def after_reads(self, delay: float, call: Callable[..., None], *what: Any) -> None:
+        """Calls once what had arrived by then has been read.
+
+        Danger: after a stall of this process timers come first, and would speak of what did come as missing.
+        """
+        self.later(delay, lambda: self.later(0, call, *what))
+
     def opened(self, change: int) -> None:
         self.in_use += change
+        if change < 0:
+            self.door.let_in()
 
     # What clients say.
 
-    def serves(self, fields: dict[str, str]) -> bool:
-        """Whether the site has what the flow names."""
-        return fields.get("c") in self.terms.service_types
-
-    def came(self, client: Client, key: int, wait: float, fields: dict[str, str]) -> None:
+    def came(self, client: Client, key: int, fields: dict[str, str]) -> None:
         """A flow."""
-        group = number(fields["g"]) if self.terms.groups and "g" in fields else None
+        group = int(fields["g"], 16) if self.terms.groups and "g" in fields else None
         now = self.now()
         self.clients[client] = None
         if "at" in fields:
-            server = self.balancer.record(now, fields["at"])
+            server = self.balancer.servers.get(fields["at"])
+            drains = server is not None and server.condition is not Condition.READY
+            if server is None or now > self.started + TAKE_UP or (
+                drains and now > server.unready_since + self.terms.drain_grace / 2
+            ):
+                # Danger: said by anyone at any time, it would go past drains and coldness.
+                client.finish("unplaced", b"FAIL")
+                return
             client.links.append(Link(self, client, 0, self.reach(server), 0.0))
             client.at = (fields["c"], key, group, server)
             return
         client.flow = self.balancer.flow(
-            now, client, fields["c"], key, group, client.came + wait, False, fields.get("again") == "1"
+            now, client, fields["c"], key, group, client.came + int(fields["d"]) / 1000, False,
+            fields.get("again") == "1",
         )
 
     def left(self, client: Client, reset: bool) -> None:
@@ -88,7 +105,7 @@
             if not link.over:
                 link.close(reset)
                 if client.flow:
-                    end = End.OK if link.up and not reset else End.CANCELLED
+                    end = End.OK if link.up and not reset else End.CANCELLED if link.written() else End.MOOT
                     self.balancer.connect_ended(
                         self.now(), client.flow, link.number, end, self.now() - link.sent, True
                     )
@@ -96,9 +113,14 @@
     def ended(self, client: Client) -> None:
         where = client.links[-1].reach.name if client.links else "-"
         age = self.now() - client.came if client.came else 0.0
-        name = client.line[5:].split(b" ", 1)[0].decode() or "-"
+        name = client.id or "-"
         tries = len(client.links)
-        self.log_lines.say(f"end {client.done} {name} server={where} connects={tries} age={age:.3f}")
+        self.log_lines.say(
+            f"end {client.done} {name} server={where} connects={tries} age={age:.3f}",
+            turned_away=client.done in TURNED_AWAY,
+        )
+        if client.id:
+            self.door.over(client.id)
 
     # What servers say.
 
@@ -237,7 +259,7 @@
         self.discovery.follow()
 
     def alarm(self, delay: float, call: Callable[[float], None]) -> None:
-        self.later(delay, lambda: call(self.now()))
+        self.after_reads(delay, lambda: call(self.now()))
 
     def log(self, text: str) -> None:
         self.log_lines.say(text)
--- a/brambleplank/net/run.py
+++ b/brambleplank/net/run.py
@@ -24,7 +24,8 @@
         told = start.read()
         proxy = Proxy(told)
         clients: Any = Clients(proxy)
-        Listener(told.listen[1], clients, BACKLOG, told.listen[0], reactor).startListening()
+        proxy.door.listener = Listener(told.listen[1], clients, BACKLOG, told.listen[0], reactor)
+        proxy.door.listener.startListening()
     except start.UnfitError as unfit:
         print(f"brambleplank: {unfit}", file=sys.stderr)
         return 2
--- a/brambleplank/net/servers.py
+++ b/brambleplank/net/servers.py
@@ -21,6 +21,7 @@
     from brambleplank.net.proxy import Proxy
 
 WAIT = re.compile(rb"(?<=[ ,])d=\d+")
+STAND_WITHIN = 40.0  # seconds for what stood there before the start; later it counts as lost
 LAST_WORDS = {b"BYE": End.OK, b"MOVE": End.CANCELLED, b"ERR": End.ERROR}
 
 
@@ -60,11 +61,14 @@
             return
         host, port = reach.address
         self.connector = Dialer(host, port, self, proxy.terms.connect_within, None, reactor)
-        if wait:
-            self.timer = proxy.later(wait, self.waited)
+        self.timer = proxy.later(wait or STAND_WITHIN, self.time_up)
         proxy.opened(1)
         self.connector.connect()
 
+    def time_up(self) -> None:
+        # Danger: after a stall of this process the answer may be here, and only unread.
+        self.timer = self.proxy.later(0, self.waited)
+
     def waited(self) -> None:
         self.end(End.TIMEOUT if self.written() else End.UNREACHABLE)
 
--- a/brambleplank/net/start.py
+++ b/brambleplank/net/start.py
@@ -143,6 +143,10 @@
                 raise UnfitError(f"{at}: missing")
             value = value[part]
         need(value, at, kind, least)
+    need(settings.get("tenants") or [], "settings.tenants", list)
+    for i, item in enumerate(settings.get("tenants") or []):
+        need(item, f"settings.tenants[{i}]", dict)
+        need(item.get("name"), f"settings.tenants[{i}].name", str)
     if not settings["service_types"]:
         raise UnfitError("settings.service_types: need one at least")
     for i, item in enumerate(settings["service_types"]):
--- a/brambleplank/terms.py
+++ b/brambleplank/terms.py
@@ -38,6 +38,7 @@
             group=item.get("group", "all"),
             window=item.get("window_us", 0) * MICRO,
             message_target=(targets[i] if i < len(targets) else item["setup_target_us"]) * MICRO,
+            connect_timeout=waits[i],
         )
         for i, item in enumerate(info["service_types"])
     }
@@ -65,4 +66,5 @@
         groups=bool(facts.get("groups", False)),
         tells_load=bool(facts.get("tells_load", False)),
         service_types=service_types,
+        tenants=frozenset(item["name"] for item in info.get("tenants") or ()),
     )
