--- a/brambleplank/decide.py
+++ b/brambleplank/decide.py
@@ -3,17 +3,17 @@
 A host makes one `Balancer` for each proxy and calls `flow`, `established`, `connect_ended` and their kin; the
 balancer answers through the `Host` it was given. Both sides of that interface are in `brambleplank/host.py`.
 
-A flow runs down a chain of small stages: `Promise` (one final answer in time), `Ring` (whom it belongs to,
-and who is passed over), `Gate` (how many connects may be out), `Launch` (the connect and how long to wait).
-Those between forbid servers where a rule is at stake, or avoid them on evidence, by degrees; the ring takes
-the first with nothing against it, else the least avoided, and rejects where only harm is left. What comes
-back runs up the chain. The ring is that of the DTS paper; `docs/design.md` says when each exception acts.
+A flow runs down a chain of small stages: `Promise` (one answer in time), `Ring` (whom it belongs to), `Gate`
+(how many connects may be out), `Launch` (the connect). Those between forbid servers where a rule is at stake,
+or avoid them on evidence, by degrees; the ring takes the least avoided, and rejects where only harm is left.
+What comes back runs up the chain. The ring is the DTS paper's; `docs/design.md` says when exceptions act.
 """
 
 from __future__ import annotations
 
 from bisect import bisect_right
 from collections.abc import Callable, Iterator
+from functools import partial
 from hashlib import md5
 from itertools import chain
 from math import exp, inf
@@ -30,6 +30,7 @@
 LEARNING = 1 / 8  # weight of the newest gap, as TCP's round-trip estimate has it
 NEWS_PERIOD = 1.0  # seconds between two tellings of a server's message time, as hosts give them
 MOST, HALF_OPEN = 1 / 2, 1 / 4  # shares of failed connects: the gate narrows; where it then starts anew
+LAST_PART = 3 / 5  # share of a planned stop's time, at its end, in which clients are moved
 RELIEF = 1 / 3  # share of its own on a slow server that a proxy moves a telling, on average
 ROOM_KEPT = 1 / 8  # share of the descriptors that is left to final answers and the list
 TRICKLE_FULL = 8  # connects in a row that went well, doubling from one, before a server is trusted again
@@ -46,8 +47,7 @@
         self.id = server_id
         self.handle: Any = None  # the host's own
         self.points = [place_on_ring(b"%b#%d" % (server_id.encode(), i)) for i in range(POINTS)]
-        self.zone, self.cell, self.size = "", 0, 1.0
-        self.condition = Condition.GONE
+        self.zone, self.cell, self.size, self.condition = "", 0, 1.0, Condition.GONE
         self.unready_since = now  # when the list told this proxy that it drains or is gone
         self.held = 0  # connects sent, or told open at the start, that have not ended
         self.waiting: dict[Connect, None] = {}  # connects out and unanswered, oldest first
@@ -61,8 +61,8 @@
         self.silence = 0.0  # waiting that ended without an answer, since the last answer
         self.trickle = 0  # connects at once that a server set aside may have; 0: it is not set aside
         self.pause = self.retry_at = 0.0
-        self.recent, self.recent_at = 0.0, 0.0  # connects there, fading, and when last counted
-        self.slow_until = self.late_until = self.dropping_until = self.probed_at = 0.0
+        self.recent = self.recent_at = 0.0  # connects there, fading, and when last counted
+        self.slow_until = self.late_until = self.dropping_until = self.probed_at = self.told_at = 0.0
         self.cold_turn, self.cold_sent = -1.0, 0  # this proxy's latest turn while cold, its connects in it
 
 
@@ -176,9 +176,8 @@
 class Cold(Stage):
     """Lets a server that has just started have only this proxy's own share of its budget.
 
-    Danger: a few connections placed at once, by proxies that know nothing of each other, push it over. So a
-    burst waits for the turn of one proxy; a rest after each turn keeps two out of any span. Hundreds seldom
-    have a turn: from half warm on, outside turns, it gets one of its own fresh flows from each, by chance.
+    Danger: connections placed at once, by proxies that know nothing of each other, push it over. So each one
+    has turns, with rests between. Hundreds seldom have one: once half warm, it gets one fresh flow from each.
     """
 
     def forbids(self, now: float, flow: Flow, server: Server) -> bool:
@@ -282,13 +281,12 @@
         return SLOW if self.balancer.rng.random() < likely * others else 0
 
     def slow(self, now: float, server: Server, seconds: float) -> None:
-        """A message's time there; told about once a second while it is long."""
         if seconds > self.balancer.shortest_message / 3:
             server.slow_until = now + 3 * NEWS_PERIOD * self.balancer.sparse()
             server.late_until = server.slow_until if seconds > self.balancer.shortest_message else now
             self.relieve(now, server, seconds / self.balancer.shortest_message)
         else:
-            server.slow_until = server.late_until = now
+            server.slow_until, server.late_until = min(now, server.slow_until), min(now, server.late_until)
 
     def short(self, now: float) -> bool:
         """Whether over a fifth of the servers with news here, and over two, show strain; twice a telling."""
@@ -314,8 +312,8 @@
     def relieve(self, now: float, server: Server, lateness: float) -> None:
         """Moves the smallest group there, whole, to where the ring now sends it.
 
-        Danger: a server with too much stays slow for as long as its connections live. A small group takes
-        with it the work it shares; one member of a large group would only double that work.
+        Danger: a server with too much stays slow while its connections live. A small group takes the work it
+        shares with it; one member of a large group would only double that work.
         """
         if not server.groups or (self.short(now) and lateness <= 1):
             return  # Danger: a fleet short of room only chases its groups from server to server.
@@ -395,7 +393,9 @@
                     return
 
     def avoids(self, now: float, flow: Flow, server: Server) -> int:  # the paper's ring with our skip
-        over = server.held > BOUND_FACTOR * self.balancer.mean() + BOUND_SPARE
+        # Danger: those who come back in waves pile up where a wave of fresh flows would still fit.
+        factor = server.size / self.balancer.usual_size if flow.returned else BOUND_FACTOR
+        over = server.held > factor * self.balancer.mean() + BOUND_SPARE
         return FULL if over and not flow.midflow else 0
 
     def onward(self, now: float, flow: Flow) -> bool:
@@ -424,8 +424,7 @@
 class Gate(Stage):
     """Caps the connects out while most of them fail wherever they go.
 
-    Danger: behind the servers stands something shared, a store or a network. Once it is late every flow is
-    connected again, its client comes again, and the repeats keep it late long after the cause has gone.
+    Danger: something shared stands behind the servers; once it is late, repeats keep it late after its cause.
     """
 
     out, failing = 0, 0.0  # connects out; share of them that failed lately
@@ -480,7 +479,7 @@
 
     def stands(self, now: float, connect: Connect, delay: float) -> None:
         connect.server.waiting.pop(connect, None)
-        self.balancer.settle(connect)
+        self.balancer.settle(now, connect)
 
     def back(self, now: float, connect: Connect, end: End, delay: float) -> None:
         connect.over = True
@@ -505,16 +504,14 @@
         self.floor = min(kind.setup_target for kind in terms.service_types.values()) / 4
         self.begun = -1.0  # when the first list came
         self.served, self.served_at = 0.0, 0.0  # ends that were well, fading over the time servers warm
-        self.failures, self.stopping = 0, False  # calls for the list that failed in a row; a planned stop
+        self.failures, self.stop_at = 0, inf  # calls for the list that failed in a row; end of a planned stop
         self.shortest_message = min(kind.message_target for kind in terms.service_types.values())
         self.ring = Ring(self)
         self.homes: dict[int, Server] = {}  # where displaced groups went, by their place on the ring
         self.members: dict[int, int] = {}  # established flows of each group here
-        self.strain = Strain(self)
-        self.gate = Gate(self)
-        self.cold = Cold(self)
+        self.promise, self.cold, self.strain, self.gate = Promise(self), Cold(self), Strain(self), Gate(self)
         self.chain: list[Stage] = [
-            Promise(self), self.ring, Drain(self), Effects(self), self.cold, Health(self), self.strain,
+            self.promise, self.ring, Drain(self), Effects(self), self.cold, Health(self), self.strain,
             Pace(self), self.gate, Launch(self),
         ]
         self.ring.forbid = [s.forbids for s in self.chain if type(s).forbids is not Stage.forbids]
@@ -524,20 +521,16 @@
         self, now: float, handle: Any, service_type: str, key: int | None, group: int | None,
         give_up_at: float, midflow: bool, returned: bool, server: Server | None = None,
     ) -> Flow:
-        spot = self.rng.getrandbits(128)
-        if group is not None:
-            spot = place_on_ring(b"group %d" % group)
-        elif key is not None:
-            spot = place_on_ring(b"key %d" % key)
+        name = b"group %d" % group if group is not None else b"key %d" % key if key is not None else b""
+        spot = place_on_ring(name) if name else self.rng.getrandbits(128)
         kind = self.terms.service_types[service_type]
-        flow = Flow(handle, kind, spot, give_up_at, midflow, returned)
-        if server is not None:
-            connect = Connect(flow, server, now)
-            flow.connects.append(connect)
+        flow = Flow(handle, kind, spot, min(give_up_at, self.stop_at), midflow, returned)
+        if server is None:
+            self.place(now, flow)
+        else:
+            flow.connects.append(Connect(flow, server, now))
             self.hold(server, 1)
-            self.settle(connect)
-            return flow
-        self.place(now, flow)
+            self.settle(now, flow.connects[0])
         return flow
 
     def mean(self) -> float:
@@ -552,14 +545,16 @@
         self.able = [s for s in self.ready if not self.cold.cold(now, s)] or self.ready
 
     def measure(self, now: float) -> None:
-        """Probes this zone's servers; from afar a probe's delay says more of the way than of the server.
+        """Probes this zone's servers; from afar a probe's delay says less, so only for want of another.
 
         Danger: where nobody tells how long messages take, a server with too much looks like any other.
         """
         for server in self.ready:
-            known = now >= max(server.slow_until, self.begun + 4 * NEWS_PERIOD)
-            due = 3 * NEWS_PERIOD if known else NEWS_PERIOD
-            if server.zone == self.terms.zone and now >= server.probed_at + due:
+            due = NEWS_PERIOD * (3 if now >= max(server.slow_until, self.begun + 4 * NEWS_PERIOD) else 1)
+            # Danger: where no proxy of its zone speaks of a server, nobody would see it strained.
+            silent = now - max(server.told_at, self.begun) > NEWS_PERIOD * self.rng.uniform(4, 8)
+            near = server.zone == self.terms.zone or (self.terms.peers and server.held and silent)
+            if near and now >= server.probed_at + due:
                 server.probed_at = now
                 self.host.probe(server)
         self.host.alarm(NEWS_PERIOD, self.measure)
@@ -586,14 +581,18 @@
 
     def stop(self, now: float) -> None:
         """A planned stop: all that stands here, or soon will, is moved one by one while others take it up."""
-        self.stopping = True
+        self.stop_at = now + self.terms.leave_within
         for server in self.servers.values():
             for flow in chain.from_iterable(server.groups.values()):
-                self.dismiss(flow)
+                self.dismiss(now, flow)
+            for connect in server.waiting:  # Danger: who waits longer than this proxy runs gets no answer.
+                self.host.alarm(self.terms.leave_within, partial(self.promise.expire, flow=connect.flow))
 
-    def dismiss(self, flow: Flow) -> None:
-        # Danger: moved in one instant, they all stand before the other proxies and the servers at once.
-        self.host.alarm(self.rng.uniform(0.0, self.terms.leave_within), lambda at: self.send_off(flow))
+    def dismiss(self, now: float, flow: Flow) -> None:
+        # Danger: moved in one instant, they all stand before the other proxies and the servers at once; moved
+        # early, they come while the others are still down themselves. Until then they are served here.
+        wait = self.stop_at - self.terms.leave_within * self.rng.uniform(0.0, LAST_PART) - now
+        self.host.alarm(max(0.0, wait), lambda at: self.send_off(flow))
 
     def send_off(self, flow: Flow) -> None:
         self.host.move(flow)
@@ -605,14 +604,14 @@
         if server.condition is Condition.READY:
             self.held += change
 
-    def settle(self, connect: Connect) -> None:
+    def settle(self, now: float, connect: Connect) -> None:
         connect.established = True
         self.members[connect.flow.spot] = self.members.get(connect.flow.spot, 0) + 1
         if connect.server is not self.ring.owner(connect.flow.spot):
             self.homes[connect.flow.spot] = connect.server
         connect.server.groups.setdefault(connect.flow.spot, {})[connect.flow] = None
-        if self.stopping:
-            self.dismiss(connect.flow)
+        if self.stop_at < inf:
+            self.dismiss(now, connect.flow)
 
     def leave(self, flow: Flow) -> None:
         """The flow's connection no longer counts for its group."""
@@ -647,8 +646,10 @@
 
     def message_time_told(self, now: float, server: Server, seconds: float, measured: bool = False) -> None:
         self.strain.slow(now, server, seconds)
-        if measured and self.terms.peers:
-            self.host.tell_peers(server, seconds)
+        if not measured:
+            server.told_at = now
+        elif self.terms.peers and (server.slow_until > now or now >= server.told_at + 2 * NEWS_PERIOD):
+            self.host.tell_peers(server, seconds)  # that all is well there, only where no other has said it
 
     def silent(self, now: float, flow: Flow, seconds: float) -> None:
         # Danger: a dead machine says nothing; its clients wait there for as long as their connections stand.
@@ -668,8 +669,7 @@
                 self.host.alarm(NEWS_PERIOD, self.measure)
             if not self.terms.push:
                 self.host.follow_list()
-        else:
-            self.failures = 0
+        self.failures = 0
         named = {entry[0] for entry in entries}
         for server in [s for s in self.servers.values() if whole and s.id not in named]:
             self.turn(now, server, Condition.GONE)
--- a/brambleplank/net/peers.py
+++ b/brambleplank/net/peers.py
@@ -24,17 +24,17 @@
         self.all_others = all_others
         self.known = frozenset(known)
 
-    def tell(self, server_id: str, seconds: float) -> None:
-        text = f"{server_id} {seconds:.3f}".encode()
+    def tell(self, server_id: str, seconds: float, usual: float) -> None:
+        text = f"{server_id} {seconds:.3f} {usual:.5f}".encode()
         if len(text) <= LONGEST:
             self.transport.write(text, self.all_others)
 
     def datagramReceived(self, datagram: bytes, addr: Any) -> None:  # noqa: N802
-        server_id, _, seconds = datagram.decode(errors="replace").partition(" ")
+        server_id, *words = datagram.decode(errors="replace").split(" ")
         try:
-            takes = float(seconds)
-        except ValueError:
+            takes, usually = float(words[0]), float(words[1]) if len(words) > 1 else 0.0
+        except (ValueError, IndexError):
             return
         # Danger: whatever reaches the port could say that every server is strained.
-        if addr in self.known and 0 <= takes < 3600:
-            self.proxy.peer_told(server_id, takes)
+        if addr in self.known and 0 <= takes < 3600 and 0 <= usually < 3600:
+            self.proxy.peer_told(server_id, takes, usually)
--- a/brambleplank/net/probes.py
+++ b/brambleplank/net/probes.py
@@ -21,8 +21,9 @@
     from brambleplank.net.proxy import Proxy
 
 KEPT = 64  # delays that are remembered of a server
-ENOUGH = 4  # delays before anything is said
-JITTER = 0.1  # share of a delay that the way alone adds now and then
+ENOUGH, SOON = 4, 2  # delays before anything is said; where others are known to compare with
+UNLIKE = 2  # times what is usual at others that a sound server's usual time may be, as machines differ
+JITTER, JITTER_AFAR = 0.1, 0.25  # share of a delay that the way alone adds now and then
 LOST_AFTER = 5.0  # seconds; a probe still out by then is not coming back
 
 
@@ -36,8 +37,7 @@
         self.probes = probes
         self.server = server
         self.asked = probes.proxy.now()  # when the PING that is out was sent; 0: none is
-        self.again = 0.0  # the delay of the one before, if this one is to confirm it
-        self.delays: list[float] = []
+        self.longer: list[float] = []  # by how much those before were, if this one is to confirm them
         self.connector = Dialer(*address, self, probes.proxy.terms.connect_within, None, reactor)
         probes.proxy.opened(1)
         self.connector.connect()
@@ -99,23 +99,41 @@
     def took(self, probe: Probe, delay: float) -> None:
         delays = self.proxy.reach(probe.server).delays
         delays[:] = [*delays[1 - KEPT :], delay]
-        if len(delays) < ENOUGH:
+        others, near = self.others(probe.server), self.near(probe.server)
+        if len(delays) < (SOON if near and others else ENOUGH):
             return
-        longer = (delay - (1 + JITTER) * self.usual(probe.server)) / self.work()
-        if longer > 1 / 3 and not probe.again:
-            # Danger: one late packet looks like strain. A long delay counts once a second one confirms it.
-            probe.again = longer
+        usual = self.usual(probe.server)
+        if near and others:
+            # Danger: a server that was slow before this proxy began would look usual while it is slow.
+            usual = min(usual, UNLIKE * others)
+        longer = (delay - (1 + (JITTER if near else JITTER_AFAR)) * usual) / (self.work() or usual)
+        if longer > 1 / 3 and len(probe.longer) < (1 if near else 2):
+            # Danger: one late packet looks like strain. A long delay counts once others confirm it.
+            probe.longer.append(longer)
             probe.ask()
             return
-        share, probe.again = (min(longer, probe.again) if probe.again else longer), 0.0
+        share, probe.longer = min([longer, *probe.longer]), []
         self.proxy.measured(probe.server, share * self.proxy.shortest)
 
+    def near(self, server: Server) -> bool:
+        return server.zone == self.proxy.terms.zone
+
     def usual(self, server: Server) -> float:
         """A low delay, not the lowest: a hung server answers probes faster than any sound one."""
         delays = sorted(self.proxy.reach(server).delays)
         return delays[len(delays) // 4] if delays else 0.0
 
+    def usual_near(self, server: Server) -> float:
+        """The same as seen from the server's own zone, here or by a proxy there; 0 if not known."""
+        return self.usual(server) if self.near(server) else self.proxy.reach(server).usual_told
+
+    def others(self, server: Server) -> float:
+        """What is usual at the others; 0 with fewer than two, as either may be the odd one."""
+        ready = self.proxy.balancer.ready
+        usual = sorted(known for other in ready if other is not server and (known := self.usual_near(other)))
+        return usual[(len(usual) - 1) // 2] if len(usual) > 1 else 0.0
+
     def work(self) -> float:
         """What most probes take, at servers that are not strained."""
-        usual = sorted(self.usual(server) for server in self.open)
-        return usual[len(usual) // 2] or 1.0
+        usual = sorted(known for server in self.proxy.balancer.ready if (known := self.usual_near(server)))
+        return usual[(len(usual) - 1) // 2] if usual else 0.0
--- a/brambleplank/net/proxy.py
+++ b/brambleplank/net/proxy.py
@@ -178,21 +178,20 @@
                 self.measured(server, 0.0)
 
     def measured(self, server: Server, seconds: float) -> None:
-        """How long messages take at a server; told while that is long, and once when it no longer is.
+        """How long messages take at a server, by a probe or by the lines that wait there.
 
         Danger: a hung server answers probes at once; lines that it owes an answer to say more.
         """
         reach, now = self.reach(server), self.now()
         seconds = max(seconds, reach.waiting)
-        long = seconds > self.shortest / 3
-        if long or reach.told_long:
-            reach.told_long, reach.told_at = long, now
-            self.balancer.message_time_told(now, server, seconds, measured=True)
+        reach.told_long, reach.told_at = seconds > self.shortest / 3, now
+        self.balancer.message_time_told(now, server, max(0.0, seconds), measured=True)
 
     # What other proxies say.
 
-    def peer_told(self, server_id: str, seconds: float) -> None:
+    def peer_told(self, server_id: str, seconds: float, usual: float) -> None:
         if server := self.balancer.servers.get(server_id):
+            self.reach(server).usual_told = usual or self.reach(server).usual_told
             self.balancer.message_time_told(self.now(), server, seconds)
 
     # What discovery says.
@@ -250,7 +249,8 @@
 
     def tell_peers(self, server: Server, seconds: float) -> None:
         if self.peers:
-            self.peers.tell(server.id, seconds)
+            usual = self.probes.usual(server) if self.probes.near(server) else 0.0
+            self.peers.tell(server.id, seconds, usual)
 
     def room(self) -> float:
         return 1 - self.in_use / self.descriptors
--- a/brambleplank/net/servers.py
+++ b/brambleplank/net/servers.py
@@ -32,6 +32,7 @@
         self.name = name
         self.address: tuple[str, int] | None = None
         self.delays: list[float] = []  # of probes, newest last
+        self.usual_told = 0.0  # what a probe takes there within its zone, as another proxy says
         self.waiting = 0.0  # how long the oldest line there has been without an answer
         self.told_long, self.told_at = False, 0.0  # whether messages took long when last told, and when
 
--- a/brambleplank/terms.py
+++ b/brambleplank/terms.py
@@ -9,7 +9,7 @@
 EFFECTS = {"repeatable": Effect.REPEATABLE, "by_key": Effect.REFERENCED, "once": Effect.ONCE_ONLY}
 MICRO = 1e-6
 LONGEST_SILENCE = 4.5  # seconds; 7 are allowed, and a line goes out every 2
-LONGEST_LEAVE = 3.0  # seconds that a planned stop leaves at most
+LONGEST_LEAVE = 3.0  # seconds that a planned stop leaves at most; 0.7 more are left for ends to arrive
 
 
 class MalformedError(Exception):
@@ -58,7 +58,7 @@
         overload_factor=rules["overload_factor"],
         fall_time=rules["fall_us"] * MICRO,
         connect_within=limits["connect_timeout_us"] * MICRO,
-        leave_within=min(LONGEST_LEAVE, *waits) / 2,
+        leave_within=min(LONGEST_LEAVE, max(waits)),
         silence_within=LONGEST_SILENCE,
         zone=info.get("az", ""),
         measures=sockets and bool(limits.get("may_probe", False)),
