--- a/brambleplank/net/probes.py
+++ b/brambleplank/net/probes.py
@@ -101,6 +101,8 @@
         delays[:] = [*delays[1 - KEPT :], delay]
         others, near = self.others(probe.server), self.near(probe.server)
         if len(delays) < (SOON if near and others else ENOUGH):
+            if near and len(delays) >= SOON:
+                self.proxy.measured(probe.server, 0.0)  # nothing to say yet, but other proxies can compare
             return
         usual = self.usual(probe.server)
         if near and others:
