--- a/brambleplank/net/start.py
+++ b/brambleplank/net/start.py
@@ -5,6 +5,7 @@
 import json
 import os
 from dataclasses import dataclass
+from math import inf
 from typing import Any
 
 from brambleplank.host import Terms
@@ -106,7 +107,11 @@
     except GarbledError as error:
         raise UnfitError(f"known: not a list of servers: {error}") from None
     check_settings(told.get("settings"))
-    terms = terms_of(told["settings"], sockets=True)
+    try:
+        terms = terms_of(told["settings"], sockets=True)
+    except (KeyError, TypeError, ValueError, AttributeError) as error:
+        # Danger: a kind of value that nobody thought of would end the program, or a reload, in a traceback.
+        raise UnfitError(f"settings: {type(error).__name__} {error}") from None
     where = os.environ.get("ROUTER_DISCOVERY") or told.get("discovery")
     if before:
         # Danger: the environment stays as it was at the start, and would hide what the file says now.
@@ -164,5 +169,5 @@
     right = isinstance(value, (int, float) if kind is float else kind) and (kind is bool or value is not True)
     if not right:
         raise UnfitError(f"{key}: need {KINDS[kind]}, not {value!r:.60}")
-    if kind in (int, float) and not value >= least:
+    if kind in (int, float) and not least <= value < inf:
         raise UnfitError(f"{key}: need {least} at least, not {value!r:.60}")
--- a/tests/test_sockets.py
+++ b/tests/test_sockets.py
@@ -466,6 +466,9 @@
         ({"settings": {**SETTINGS, "service_types": []}}, "service_types"),
         ({"settings": {**SETTINGS, "tick_us": "short"}}, "tick_us"),
         ({"settings": {**SETTINGS, "balancers": -3}}, "balancers"),
+        ({"settings": {**SETTINGS, "specifics": 3}}, "settings"),
+        ({"settings": {**SETTINGS, "tenants": [{"name": 1}]}}, "settings.tenants[0].name"),
+        ({"settings": {**SETTINGS, "tick_us": float("inf")}}, "tick_us"),
     ],
 )
 def test_a_bad_key_is_named_and_nothing_starts(run: Run, changes: dict[str, Any], named: str) -> None:
