A new discovery that opens a moment late is asked again every 0.25 s for 2.5 s

Seen by a story: after four failures at the old address, one failure at the new one cost the module's longest pause (2.5 to 5 s here), where what discovery tells counts as told 4 s after SIGHUP. Lines at fault: Discovery.failed told the module of it like of any other. Excluded: the request itself, which goes out at once. The story fails without the change.

--- a/brambleplank/net/discovery.py
+++ b/brambleplank/net/discovery.py
@@ -23,6 +23,7 @@
     from brambleplank.net.proxy import Proxy
 
 CATCHING_UP = 2.5  # seconds in which discovery at a new address may still be behind what is held
+SOON_AGAIN = 0.25  # seconds between two requests meanwhile
 SILENT_AFTER = 4.3  # seconds: two empty-line periods and a little
 CONDITIONS = {"ready": Condition.READY, "draining": Condition.DRAINING, "gone": Condition.GONE}
 
@@ -164,6 +165,10 @@
         if asked is not self.asking:
             return  # it was called off, or asked where discovery no longer is
         self.asking = None
+        if self.proxy.now() < self.moved_at + CATCHING_UP:
+            # Danger: a new address that opens a moment late would wait out the pause after older failures.
+            self.proxy.later(SOON_AGAIN, self.follow)
+            return
         self.proxy.list_failed(why if isinstance(why, str) else type(why.value).__name__)
 
     def broke(self, why: str) -> None:
--- a/tests/test_sockets.py
+++ b/tests/test_sockets.py
@@ -194,6 +194,18 @@
         pass
 
 
+def test_a_new_discovery_that_opens_late_is_asked_again_soon_whatever_failed_before(run: Run) -> None:
+    program = run(fleet(Server()))
+    for _ in range(4):  # each failure lengthens the pause before the next request
+        program.discovery.watch()[1].end(reset=True)
+        program.line("list: ")
+    late = socket.create_server(("127.0.0.1", 0))
+    late.settimeout(2.0)
+    program.read_again(discovery=f"127.0.0.1:{late.getsockname()[1]}")
+    Line(late.accept()[0]).end(reset=True)
+    assert Line(late.accept()[0]).hear() == "GET /discovery/hosts?watch=1 HTTP/1.1"
+
+
 def test_a_torn_or_wrong_new_file_is_named_by_its_key_and_the_old_values_stay(run: Run) -> None:
     program, _, client, there = stood(run)
     program.discovery.watch()
