Seams: fronts and sources of their own before one proxy, no file in a circle

Need: net/ was one circle of eight files, so a second protocol or a second source of servers had no place. Change: seams.py says what the proxy asks of a front (client, connect, probe) and of a source (follow, stop). fronts/line and sources/platform speak the line protocol and the platform's watch; platform/ holds the JSON and the start; Clock, Door (which counts descriptors) and Probes are given what they need.

--- a/brambleplank/__main__.py
+++ b/brambleplank/__main__.py
@@ -2,6 +2,6 @@
 
 import sys
 
-from brambleplank.net.run import main
+from brambleplank.platform.run import main
 
 sys.exit(main())
--- a/brambleplank/decide.py
+++ b/brambleplank/decide.py
@@ -492,7 +492,7 @@
 class Balancer:
     """One proxy's decisions."""
 
-    def __init__(self, host: Host, terms: Terms, seed: int) -> None:
+    def __init__(self, host: Host[Flow, Server], terms: Terms, seed: int) -> None:
         self.host, self.terms, self.rng = host, terms, Random(seed)
         self.servers: dict[str, Server] = {}
         self.ready: list[Server] = []
--- /dev/null
+++ b/brambleplank/fronts/__init__.py
@@ -0,0 +1,1 @@
+"""Protocols that clients and servers speak, one package each; none knows another."""
--- a/brambleplank/net/clients.py
+++ b/brambleplank/fronts/line/clients.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING, Any
+from typing import Any
 
 from twisted.internet.error import ConnectionDone
 from twisted.internet.protocol import Factory
@@ -10,13 +10,12 @@
 from twisted.protocols.policies import TimeoutMixin
 from twisted.python.failure import Failure
 
-from brambleplank.net import opening
+from brambleplank.decide import Flow, Server
+from brambleplank.fronts.line import opening
+from brambleplank.fronts.line.connects import Line
 from brambleplank.net.buffers import LINGER, Tap
-
-if TYPE_CHECKING:
-    from brambleplank.decide import Flow, Server
-    from brambleplank.net.proxy import Proxy
-    from brambleplank.net.servers import Link
+from brambleplank.net.proxy import Proxy
+from brambleplank.seams import Reach
 
 LONGEST_LINE = 4094  # and its CRLF
 FIRST_LINE_WITHIN = 2.0  # seconds from its connection to its whole OPEN; it sends that as it connects
@@ -38,15 +37,15 @@
         self.came = 0.0
         self.past = 0  # bytes read after its last line
         self.flow: Flow | None = None
-        self.links: list[Link] = []  # its connects, in the order made
-        self.link: Link | None = None  # the one that is established
+        self.connects: list[Line] = []  # in the order made
+        self.standing: Line | None = None  # the one that is established
         self.at: tuple[str, int, int | None, Server] | None = None  # it stood at that server before the start
         self.pinged = False
         self.done = ""  # the reason code of the end, once there is one
 
     def connectionMade(self) -> None:  # noqa: N802
         self.transport.setTcpNoDelay(True)
-        self.proxy.opened(1)
+        self.proxy.door.held(1)
         self.proxy.door.came(self)
         self.setTimeout(FIRST_LINE_WITHIN)
 
@@ -66,15 +65,15 @@
     def lineReceived(self, line: bytes) -> None:  # noqa: N802
         if self.done:
             return
-        if self.link:
-            self.link.pass_on(line)
+        if self.standing:
+            self.standing.pass_on(line)
         elif self.line:
             # Danger: passed on once it is UP, what no client says would make its server look broken.
             self.proxy.left(self, False)
             self.finish("early", b"ERR")
         elif line == b"PING":
             self.pinged = True
-            self.sendLine(b"PONG" if self.proxy.serving and not self.proxy.stopping else b"NO")
+            self.sendLine(b"PONG" if self.proxy.takes_flows() else b"NO")
         else:
             self.begin(line)
 
@@ -89,22 +88,49 @@
             self.finish("copied", b"ERR")
             return
         self.setTimeout(None)
-        self.id, self.came, self.line = flow_id, self.proxy.now(), line
-        self.proxy.guarded(self, self.proxy.came, self, key, fields)
+        self.id, self.came, self.line = flow_id, self.proxy.clock.now(), line
+        self.proxy.guarded(self, self.hand_over, key, fields)
+
+    def hand_over(self, key: int, fields: dict[str, str]) -> None:
+        """Hands the flow to the proxy."""
+        group = int(fields["g"], 16) if self.proxy.terms.groups and "g" in fields else None
+        if "at" in fields:
+            self.proxy.stood(self, fields["c"], key, group, fields["at"])
+        else:
+            self.proxy.came(
+                self, fields["c"], key, group, int(fields["d"]) / 1000, fields.get("again") == "1"
+            )
+
+    # What the proxy asks.
+
+    def dial(self, reach: Reach, wait: float) -> None:
+        self.connects.append(Line(self.proxy, self, len(self.connects), reach, wait))
 
-    def stand(self, link: Link, line: bytes) -> None:
+    def stand(self, connect: Line, line: bytes) -> None:
         """A server has answered UP: all lines go through from here on."""
-        self.link = link
-        self.transport.registerProducer(Tap(link.transport), True)
-        link.transport.registerProducer(Tap(self.transport), True)
+        self.standing = connect
+        self.transport.registerProducer(Tap(connect.transport), True)
+        connect.transport.registerProducer(Tap(self.transport), True)
         self.sendLine(line)
 
+    def reject(self, pause: float) -> None:
+        self.finish("rejected", b"BUSY %d" % round(pause * 1000) if pause else b"BUSY")
+
+    def abort(self, code: str) -> None:
+        self.finish(code, b"FAIL")
+
+    def move(self) -> None:
+        self.finish("moved", b"MOVE")
+
+    def part(self, code: str, reset: bool) -> None:
+        self.finish(code, reset=reset)
+
     def finish(self, code: str, last: bytes = b"", reset: bool = False) -> None:
         """Ends the connection, by a last line or none, and writes its line to the log."""
         if self.done:
             return
         self.done = code
-        self.proxy.ended(self)
+        self.proxy.ended(self, self.done in TURNED_AWAY)
         self.proxy.door.answered(self)
         self.setRawMode()
         if reset or code == "idle":
@@ -123,7 +149,7 @@
             self.transport.abortConnection()
         else:
             # Danger: after a stall of this process its line may be here, and only unread.
-            self.proxy.after_reads(0.0, self.too_late)
+            self.proxy.clock.after_reads(0.0, self.too_late)
 
     def too_late(self) -> None:
         if not self.line:
@@ -145,19 +171,18 @@
 
     def connectionLost(self, reason: Failure) -> None:  # type: ignore[override] # noqa: N802
         self.setTimeout(None)
-        self.proxy.opened(-1)
+        self.proxy.door.held(-1)
         if not self.done:
-            if self.link and not self.link.over:
-                self.link.transport.write(self.clearLineBuffer())  # a line that it left unfinished
+            if self.standing and not self.standing.over:
+                self.standing.transport.write(self.clearLineBuffer())  # a line that it left unfinished
             clean = reason.check(ConnectionDone) is not None
             if self.line:
-                self.done = ("closed" if clean else "reset") if self.link else "left"
+                self.done = ("closed" if clean else "reset") if self.standing else "left"
             else:
                 self.done = "pinged" if self.pinged else "silent"
             self.proxy.left(self, not clean)
-            self.proxy.ended(self)
-        self.proxy.clients.pop(self, None)
-        self.proxy.door.gone(self)
+            self.proxy.ended(self, self.done in TURNED_AWAY)
+        self.proxy.gone(self)
 
 
 class Clients(Factory):
--- a/brambleplank/net/servers.py
+++ b/brambleplank/fronts/line/connects.py
@@ -1,10 +1,11 @@
-"""Connections to servers: one for each connect, with its outcome by the protocol's table."""
+"""Connections to servers: one for each connect, with its outcome by the line protocol's table."""
 
 from __future__ import annotations
 
 import re
-from typing import TYPE_CHECKING, Any
+from typing import Any, Protocol
 
+from twisted.internet.base import DelayedCall
 from twisted.internet.error import ConnectionDone
 from twisted.internet.protocol import ClientFactory
 from twisted.protocols.basic import LineReceiver
@@ -13,44 +14,38 @@
 from brambleplank.host import End
 from brambleplank.net.buffers import Dialer
 from brambleplank.net.loop import reactor
-
-if TYPE_CHECKING:
-    from twisted.internet.base import DelayedCall
-
-    from brambleplank.net.clients import Client
-    from brambleplank.net.proxy import Proxy
+from brambleplank.net.proxy import SILENT, Proxy
+from brambleplank.seams import Client, Reach
 
 WAIT = re.compile(rb"(?<=[ ,])d=\d+")
-SILENT = 1.0  # seconds after which a line without an answer is spoken of
 STAND_WITHIN = 40.0  # seconds for what stood there before the start; later it counts as lost
 LAST_WORDS = {b"BYE": End.OK, b"MOVE": End.CANCELLED, b"ERR": End.ERROR}
 
 
-class Reach:
-    """How a server is reached, and how fast probes come back from it; `Server.handle` points here."""
+class LineClient(Client, Protocol):
+    """The client of a line, beyond what the proxy asks of it."""
+
+    line: bytes
+    transport: Any
+
+    def sendLine(self, line: bytes) -> object: ...  # noqa: N802
 
-    def __init__(self, name: str) -> None:
-        self.name = name
-        self.address: tuple[str, int] | None = None
-        self.delays: list[float] = []  # of probes, newest last
-        self.usual_told = 0.0  # what a probe takes there within its zone, as another proxy says
-        self.waiting = 0.0  # how long the oldest line there has been without an answer
-        self.told_long, self.told_at = False, 0.0  # whether messages took long when last told, and when
+    def stand(self, connect: Line, line: bytes) -> None: ...
 
 
-class Link(LineReceiver, ClientFactory):
+class Line(LineReceiver, ClientFactory):
     """One connect: its dialing, its line, what comes back."""
 
     MAX_LENGTH = 4094
     noisy = False
     transport: Any = None
 
-    def __init__(self, proxy: Proxy, client: Client, number: int, reach: Reach, wait: float) -> None:
+    def __init__(self, proxy: Proxy, client: LineClient, number: int, reach: Reach, wait: float) -> None:
         self.proxy = proxy
         self.client = client
         self.number = number
         self.reach = reach
-        self.sent = proxy.now()
+        self.sent = proxy.clock.now()
         patience = b"d=%d" % max(1, round(wait * 1000))
         self.line = WAIT.sub(patience, client.line, count=1) if wait else client.line
         self.up = self.over = False
@@ -59,17 +54,17 @@
         self.timer: DelayedCall | None = None
         self.connector: Dialer | None = None
         if reach.address is None:
-            self.timer = proxy.later(0, self.end, End.UNREACHABLE)
+            self.timer = proxy.clock.later(0, self.end, End.UNREACHABLE)
             return
         host, port = reach.address
         self.connector = Dialer(host, port, self, proxy.terms.connect_within, None, reactor)
-        self.timer = proxy.later(wait or STAND_WITHIN, self.time_up)
-        proxy.opened(1)
+        self.timer = proxy.clock.later(wait or STAND_WITHIN, self.time_up)
+        proxy.door.held(1)
         self.connector.connect()
 
     def time_up(self) -> None:
         # Danger: after a stall of this process the answer may be here, and only unread.
-        self.timer = self.proxy.later(0, self.waited)
+        self.timer = self.proxy.clock.later(0, self.waited)
 
     def waited(self) -> None:
         self.end(End.TIMEOUT if self.written() else End.UNREACHABLE)
@@ -78,7 +73,7 @@
         """Whether the last byte of OPEN went out: from then on it may have run."""
         return self.transport is not None and self.transport.written >= len(self.line) + 2
 
-    def buildProtocol(self, addr: object) -> Link:  # noqa: N802
+    def buildProtocol(self, addr: object) -> Line:  # noqa: N802
         return self
 
     def connectionMade(self) -> None:  # noqa: N802
@@ -89,12 +84,12 @@
             self.sendLine(self.line)
 
     def clientConnectionFailed(self, connector: object, reason: Failure) -> None:  # noqa: N802
-        self.proxy.opened(-1)
+        self.proxy.door.held(-1)
         self.end(End.UNREACHABLE)
 
     def pass_on(self, line: bytes) -> None:
         """A client's line."""
-        self.asked = self.asked or self.proxy.now()
+        self.asked = self.asked or self.proxy.clock.now()
         self.sendLine(line)
 
     def lineReceived(self, line: bytes) -> None:  # noqa: N802
@@ -121,11 +116,22 @@
     def established_line(self, line: bytes) -> None:
         self.last = line
         if line.startswith(b"LOAD "):
-            self.proxy.load_told(self, line[5:])
+            self.load(line[5:])
         else:
             self.asked = 0.0
         self.client.sendLine(line)
 
+    def load(self, told: bytes) -> None:
+        try:
+            self.proxy.load_told(self, float(told))
+        except ValueError:
+            return
+
+    def code(self, end: End) -> str:
+        if end is End.ERROR and self.last != b"ERR":
+            return "unread"
+        return {End.OK: "bye", End.CANCELLED: "drained", End.ERROR: "error"}.get(end, "broke")
+
     def cancel(self) -> None:
         if self.timer and self.timer.active():
             self.timer.cancel()
@@ -147,14 +153,14 @@
             self.connector.disconnect()
 
     def connectionLost(self, reason: Failure) -> None:  # type: ignore[override] # noqa: N802
-        self.proxy.opened(-1)
+        self.proxy.door.held(-1)
         if self.over:
             return
         clean = reason.check(ConnectionDone) is not None
         if self.up:
             self.client.transport.write(self.clearLineBuffer())  # a line that it left unfinished
             # Danger: a server closes on a line that it cannot read; that is the client's fault, not strain.
-            unread = self.asked and self.proxy.now() < self.asked + SILENT
+            unread = self.asked and self.proxy.clock.now() < self.asked + SILENT
             self.end(LAST_WORDS.get(self.last, End.ERROR if unread else End.RESET), not clean)
         else:
             self.end(End.RESET if self.written() else End.UNREACHABLE)
--- a/brambleplank/host.py
+++ b/brambleplank/host.py
@@ -11,10 +11,11 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 from enum import Enum
-from typing import TYPE_CHECKING, Any, Protocol
+from typing import Any, Protocol, TypeVar
 
-if TYPE_CHECKING:
-    from brambleplank.decide import Flow, Server
+FlowT = TypeVar("FlowT")  # the records of the decisions, which this file does not know
+GivenFlowT = TypeVar("GivenFlowT", contravariant=True)
+GivenServerT = TypeVar("GivenServerT", contravariant=True)
 
 
 class End(Enum):
@@ -88,31 +89,31 @@
     tenants: frozenset[str]  # by name; none at sites without
 
 
-class Host(Protocol):
+class Host(Protocol[GivenFlowT, GivenServerT]):
     """Calls out: what the balancer asks its host to do."""
 
-    def connect(self, flow: Flow, server: Server, max_wait: float) -> None:
+    def connect(self, flow: GivenFlowT, server: GivenServerT, max_wait: float) -> None:
         """Try the flow at the server; connects of a flow are numbered from 0 in the order made."""
 
-    def withdraw(self, flow: Flow, number: int) -> None:
+    def withdraw(self, flow: GivenFlowT, number: int) -> None:
         """Stop waiting for one connect."""
 
-    def reject(self, flow: Flow, pause: float) -> None:
+    def reject(self, flow: GivenFlowT, pause: float) -> None:
         """Final answer: trying again is harmless, best after the pause (0: no advice)."""
 
-    def abort(self, flow: Flow) -> None:
+    def abort(self, flow: GivenFlowT) -> None:
         """Final answer that promises nothing."""
 
-    def move(self, flow: Flow) -> None:
+    def move(self, flow: GivenFlowT) -> None:
         """End an established connection politely; its client comes again."""
 
     def follow_list(self) -> None:
         """Subscribe to the list of servers, missed changes first."""
 
-    def probe(self, server: Server) -> None:
+    def probe(self, server: GivenServerT) -> None:
         """Measure by a probe how long messages take there; the answer is `message_time_told`."""
 
-    def tell_peers(self, server: Server, seconds: float) -> None:
+    def tell_peers(self, server: GivenServerT, seconds: float) -> None:
         """Tell all other proxies how long messages take at a server."""
 
     def room(self) -> float:
@@ -125,39 +126,41 @@
         """A line for the people on call."""
 
 
-class Decisions(Protocol):
+class Decisions(Protocol[FlowT, GivenServerT]):
     """Calls in: what a host tells a balancer."""
 
     def flow(
         self, now: float, handle: Any, service_type: str, key: int | None, group: int | None,
-        give_up_at: float, midflow: bool, returned: bool, server: Server | None = None,
-    ) -> Flow:
+        give_up_at: float, midflow: bool, returned: bool, server: GivenServerT | None = None,
+    ) -> FlowT:
         """A flow has come; with a server, a connection that is already open there.
 
         The handle is the host's own and comes back on `Flow.handle`, untouched, as does `Server.handle`.
         """
 
-    def established(self, now: float, flow: Flow, number: int, delay: float) -> None:
+    def established(self, now: float, flow: FlowT, number: int, delay: float) -> None:
         """A connect stands; it now lasts until `connect_ended`."""
 
     def connect_ended(
-        self, now: float, flow: Flow, number: int, end: End, delay: float, complete: bool
+        self, now: float, flow: FlowT, number: int, end: End, delay: float, complete: bool
     ) -> None:
         """A connect is over; complete: nothing more is owed for the flow."""
 
-    def lapsed(self, now: float, flow: Flow) -> None:
+    def lapsed(self, now: float, flow: FlowT) -> None:
         """The client has left."""
 
-    def load_told(self, now: float, flow: Flow, number: int, load: float) -> None:
+    def load_told(self, now: float, flow: FlowT, number: int, load: float) -> None:
         """The connection's load now, in seconds of work a second."""
 
-    def message_time_told(self, now: float, server: Server, seconds: float, measured: bool = False) -> None:
+    def message_time_told(
+        self, now: float, server: GivenServerT, seconds: float, measured: bool = False
+    ) -> None:
         """How long a message takes now at a server: told by it or another proxy, or measured here.
 
         While it is long, about once a second; and once when it no longer is.
         """
 
-    def silent(self, now: float, flow: Flow, seconds: float) -> None:
+    def silent(self, now: float, flow: FlowT, seconds: float) -> None:
         """So long has an established connection brought nothing back for a line that went out."""
 
     def stop(self, now: float) -> None:
--- a/brambleplank/net/buffers.py
+++ b/brambleplank/net/buffers.py
@@ -10,6 +10,7 @@
 from brambleplank.net.loop import reactor
 
 SIZE = 16 * 1024  # several lines of the longest kind
+BACKLOG = 1024  # connections that the kernel holds ready; each may already have sent its line
 LINGER = 1.5  # seconds that the other side has to read what is left, and to end its own side
 
 
--- a/brambleplank/net/door.py
+++ b/brambleplank/net/door.py
@@ -2,12 +2,8 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
-
-if TYPE_CHECKING:
-    from brambleplank.net.buffers import Listener
-    from brambleplank.net.clients import Client
-    from brambleplank.net.proxy import Proxy
+from brambleplank.net.clock import Clock
+from brambleplank.seams import Client, Listener
 
 CROWDED = 3 / 4  # share of the descriptors in use from which those who only stand about are shown out
 AT_ONCE = 1 / 4  # share that is made free at once for those who wait in the kernel
@@ -15,6 +11,7 @@
 GRACE = 0.05  # seconds in which a line is due where it is crowded, or an answer is read
 IDS_KEPT = 60.0  # seconds for which an id stays used after its flow
 MOST_IDS = 8192
+BY_THE_PROGRAM = 16  # descriptors that the program itself holds
 
 
 class Door:
@@ -24,9 +21,10 @@
     clients would find none, and connects to sound servers would fail for want of one.
     """
 
-    def __init__(self, proxy: Proxy) -> None:
-        self.proxy = proxy
-        self.listener: Listener | None = None
+    def __init__(self, clock: Clock, descriptors: int) -> None:
+        self.clock = clock
+        self.descriptors, self.in_use = descriptors, BY_THE_PROGRAM
+        self.listeners: list[Listener] = []
         self.waiting: dict[Client, float] = {}  # without a whole first line, longest first, and since when
         self.leaving: dict[Client, float] = {}  # answered, and not gone yet
         self.shown_out: dict[Client, None] = {}  # closed by us, their descriptors not free yet
@@ -34,13 +32,23 @@
         self.used_ids: dict[str, float] = {}  # of flows that are over, and until when; soonest first
         self.looking = False
 
+    def held(self, change: int) -> None:
+        """Descriptors taken up, or given back."""
+        self.in_use += change
+        if change < 0:
+            self.let_in()
+
+    def free(self) -> float:
+        """The share of the descriptors that is free."""
+        return 1 - self.in_use / self.descriptors
+
     def came(self, client: Client) -> None:
-        self.waiting[client] = self.proxy.now()
+        self.waiting[client] = self.clock.now()
         self.make_room()
 
     def opened(self, client: Client, flow_id: str) -> bool:
         """A flow begins; False if its id is in use, or was just now."""
-        now = self.proxy.now()
+        now = self.clock.now()
         while self.used_ids and (now >= next(iter(self.used_ids.values())) or len(self.used_ids) > MOST_IDS):
             del self.used_ids[next(iter(self.used_ids))]
         if flow_id in self.open_ids or flow_id in self.used_ids:
@@ -52,12 +60,12 @@
 
     def over(self, flow_id: str) -> None:
         self.open_ids.discard(flow_id)
-        self.used_ids[flow_id] = self.proxy.now() + IDS_KEPT
+        self.used_ids[flow_id] = self.clock.now() + IDS_KEPT
 
     def answered(self, client: Client) -> None:
         self.waiting.pop(client, None)
         if client not in self.shown_out:
-            self.leaving[client] = self.proxy.now()
+            self.leaving[client] = self.clock.now()
             self.make_room()
 
     def gone(self, client: Client) -> None:
@@ -67,14 +75,14 @@
 
     def beyond(self) -> int:
         """How many descriptors are in use beyond the share that is left to usual clients."""
-        return self.proxy.in_use - len(self.shown_out) - int(CROWDED * self.proxy.descriptors)
+        return self.in_use - len(self.shown_out) - int(CROWDED * self.descriptors)
 
     def make_room(self) -> None:
         """Shows out who has had its answer, then who has longest had nothing to say."""
-        now = self.proxy.now()
+        now = self.clock.now()
         # Danger: let in one for one, those who say nothing would keep all behind them waiting in the kernel.
-        held = self.listener is not None and self.listener.held
-        spare = int(AT_ONCE * self.proxy.descriptors) if held else 0
+        held = any(listener.held for listener in self.listeners)
+        spare = int(AT_ONCE * self.descriptors) if held else 0
         for group in (self.leaving, self.waiting):
             while group and self.beyond() + spare > 0:
                 client, since = next(iter(group.items()))
@@ -85,7 +93,7 @@
                 client.show_out()
         if self.beyond() >= 0 and (self.waiting or self.leaving) and not self.looking:
             self.looking = True
-            self.proxy.after_reads(GRACE, self.look)
+            self.clock.after_reads(GRACE, self.look)
 
     def look(self) -> None:
         self.looking = False
@@ -96,9 +104,10 @@
         """How many more may be let in now."""
         if self.waiting or self.leaving:
             return -self.beyond()
-        return int(LAST * self.proxy.descriptors) - self.proxy.in_use
+        return int(LAST * self.descriptors) - self.in_use
 
     def let_in(self) -> None:
         """Danger: accepted beyond that, they would hold what the next flows need; the kernel keeps them."""
-        if self.listener and self.listener.held and self.room() > 0:
-            self.listener.resume()
+        for listener in self.listeners:
+            if listener.held and self.room() > 0:
+                listener.resume()
--- a/brambleplank/net/log.py
+++ b/brambleplank/net/log.py
@@ -4,28 +4,37 @@
 
 import sys
 from collections.abc import Callable
+from typing import Any
 
 LINES_A_SECOND = 200
 TURNED_AWAY = 20  # of these, what clients that were turned away may take
 
 
+def plainly(now: float, text: str, fields: dict[str, Any]) -> str:
+    return f"{now:.3f} {text}"
+
+
 class Log:
     """Danger: a storm of ending connections fills the pipe behind standard error, and a print then blocks."""
 
-    def __init__(self, clock: Callable[[], float]) -> None:
-        self.clock = clock
+    def __init__(
+        self, clock: Callable[[], float], form: Callable[[float, str, dict[str, Any]], str] = plainly
+    ) -> None:
+        self.clock, self.form = clock, form
         self.second = 0
         self.printed = self.dropped = self.turned_away = 0
 
-    def say(self, text: str, turned_away: bool = False) -> None:
+    def say(self, text: str, turned_away: bool = False, **fields: Any) -> None:
+        """One line; the fields are what the text says, for forms that keep them apart."""
         now = self.clock()
         if int(now) != self.second:
             if self.dropped:
-                print(f"{now:.3f} log: {self.dropped} lines dropped", file=sys.stderr, flush=True)
+                dropped = f"log: {self.dropped} lines dropped"
+                print(self.form(now, dropped, {"dropped": self.dropped}), file=sys.stderr, flush=True)
             self.second, self.printed, self.dropped, self.turned_away = int(now), 0, 0, 0
         self.turned_away += turned_away
         if self.printed >= LINES_A_SECOND or (turned_away and self.turned_away > TURNED_AWAY):
             self.dropped += 1
             return
         self.printed += 1
-        print(f"{now:.3f} {text}", file=sys.stderr, flush=True)
+        print(self.form(now, text, fields), file=sys.stderr, flush=True)
--- a/brambleplank/net/peers.py
+++ b/brambleplank/net/peers.py
@@ -2,13 +2,11 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING, Any
+from collections.abc import Callable
+from typing import Any
 
 from twisted.internet.protocol import DatagramProtocol
 
-if TYPE_CHECKING:
-    from brambleplank.net.proxy import Proxy
-
 LONGEST = 256
 
 
@@ -16,8 +14,11 @@
     noisy = False
     transport: Any
 
-    def __init__(self, proxy: Proxy, all_others: tuple[str, int], known: list[tuple[str, int]]) -> None:
-        self.proxy = proxy
+    def __init__(
+        self, told: Callable[[str, float, float], None], all_others: tuple[str, int],
+        known: list[tuple[str, int]],
+    ) -> None:
+        self.told = told
         self.reach(all_others, known)
 
     def reach(self, all_others: tuple[str, int], known: list[tuple[str, int]]) -> None:
@@ -37,4 +38,4 @@
             return
         # Danger: whatever reaches the port could say that every server is strained.
         if addr in self.known and 0 <= takes < 3600 and 0 <= usually < 3600:
-            self.proxy.peer_told(server_id, takes, usually)
+            self.told(server_id, takes, usually)
--- a/brambleplank/net/probes.py
+++ b/brambleplank/net/probes.py
@@ -6,19 +6,13 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING, Any
+from collections.abc import Callable
 
-from twisted.internet.protocol import ClientFactory
-from twisted.protocols.basic import LineReceiver
-from twisted.python.failure import Failure
-
-from brambleplank.host import Condition
-from brambleplank.net.buffers import Dialer
-from brambleplank.net.loop import reactor
-
-if TYPE_CHECKING:
-    from brambleplank.decide import Server
-    from brambleplank.net.proxy import Proxy
+from brambleplank.decide import Server
+from brambleplank.host import Condition, Terms
+from brambleplank.net.clock import Clock
+from brambleplank.net.reach import reach_of
+from brambleplank.seams import Address, Probe
 
 KEPT = 64  # delays that are remembered of a server
 ENOUGH, SOON = 4, 2  # delays before anything is said; where others are known to compare with
@@ -27,82 +21,45 @@
 LOST_AFTER = 5.0  # seconds; a probe still out by then is not coming back
 
 
-class Probe(LineReceiver, ClientFactory):
-    """A standing connection to one server, for one PING at a time."""
-
-    noisy = False
-    transport: Any = None
-
-    def __init__(self, probes: Probes, server: Server, address: tuple[str, int]) -> None:
-        self.probes = probes
-        self.server = server
-        self.asked = probes.proxy.now()  # when the PING that is out was sent; 0: none is
-        self.longer: list[float] = []  # by how much those before were, if this one is to confirm them
-        self.connector = Dialer(*address, self, probes.proxy.terms.connect_within, None, reactor)
-        probes.proxy.opened(1)
-        self.connector.connect()
-
-    def buildProtocol(self, addr: object) -> Probe:  # noqa: N802
-        return self
-
-    def connectionMade(self) -> None:  # noqa: N802
-        self.transport.setTcpNoDelay(True)
-        self.ask()
-
-    def ask(self) -> None:
-        self.asked = self.probes.proxy.now()
-        self.sendLine(b"PING")
-
-    def lineReceived(self, line: bytes) -> None:  # noqa: N802
-        if line == b"PONG" and self.asked:
-            delay, self.asked = self.probes.proxy.now() - self.asked, 0.0
-            self.probes.took(self, delay)
-        else:
-            self.transport.loseConnection()
-
-    def clientConnectionFailed(self, connector: object, reason: Failure) -> None:  # noqa: N802
-        self.gone()
-
-    def connectionLost(self, reason: Failure) -> None:  # type: ignore[override] # noqa: N802
-        self.gone()
-
-    def gone(self) -> None:
-        self.probes.proxy.opened(-1)
-        self.probes.open.pop(self.server, None)
-
-
 class Probes:
     """The probes of this proxy."""
 
-    def __init__(self, proxy: Proxy) -> None:
-        self.proxy = proxy
+    def __init__(
+        self, clock: Clock, terms: Terms, ready: Callable[[], list[Server]],
+        measured: Callable[[Server, float], None], begin: Callable[[Probes, Server, Address], Probe],
+    ) -> None:
+        self.clock, self.terms, self.ready, self.measured, self.begin = clock, terms, ready, measured, begin
+        self.shortest = min(kind.message_target for kind in terms.service_types.values())
         self.open: dict[Server, Probe] = {}
 
     def send(self, server: Server) -> None:
-        address = self.proxy.reach(server).address
+        address = reach_of(server).address
         probe = self.open.get(server)
         if probe is None:
             if address:
-                self.open[server] = Probe(self, server, address)
+                self.open[server] = self.begin(self, server, address)
         elif not probe.asked:
             probe.ask()
-        elif self.proxy.now() > probe.asked + LOST_AFTER:
+        elif self.clock.now() > probe.asked + LOST_AFTER:
             # Danger: a dead machine answers nothing and ends nothing; the probe would wait for ever.
-            probe.connector.disconnect()
+            probe.close()
+
+    def gone(self, probe: Probe) -> None:
+        self.open.pop(probe.server, None)
 
     def keep_to_ready(self) -> None:
         """Danger: a machine that is gone ends nothing, and its probe would hold a descriptor for ever."""
         for server, probe in list(self.open.items()):
             if server.condition is not Condition.READY:
-                probe.connector.disconnect()
+                probe.close()
 
     def took(self, probe: Probe, delay: float) -> None:
-        delays = self.proxy.reach(probe.server).delays
+        delays = reach_of(probe.server).delays
         delays[:] = [*delays[1 - KEPT :], delay]
         others, near = self.others(probe.server), self.near(probe.server)
         if len(delays) < (SOON if near and others else ENOUGH):
             if near and len(delays) >= SOON:
-                self.proxy.measured(probe.server, 0.0)  # nothing to say yet, but other proxies can compare
+                self.measured(probe.server, 0.0)  # nothing to say yet, but other proxies can compare
             return
         usual = self.usual(probe.server)
         if near and others:
@@ -115,27 +72,27 @@
             probe.ask()
             return
         share, probe.longer = min([longer, *probe.longer]), []
-        self.proxy.measured(probe.server, share * self.proxy.shortest)
+        self.measured(probe.server, share * self.shortest)
 
     def near(self, server: Server) -> bool:
-        return server.zone == self.proxy.terms.zone
+        return server.zone == self.terms.zone
 
     def usual(self, server: Server) -> float:
         """A low delay, not the lowest: a hung server answers probes faster than any sound one."""
-        delays = sorted(self.proxy.reach(server).delays)
+        delays = sorted(reach_of(server).delays)
         return delays[len(delays) // 4] if delays else 0.0
 
     def usual_near(self, server: Server) -> float:
         """The same as seen from the server's own zone, here or by a proxy there; 0 if not known."""
-        return self.usual(server) if self.near(server) else self.proxy.reach(server).usual_told
+        return self.usual(server) if self.near(server) else reach_of(server).usual_told
 
     def others(self, server: Server) -> float:
         """What is usual at the others; 0 with fewer than two, as either may be the odd one."""
-        ready = self.proxy.balancer.ready
+        ready = self.ready()
         usual = sorted(known for other in ready if other is not server and (known := self.usual_near(other)))
         return usual[(len(usual) - 1) // 2] if len(usual) > 1 else 0.0
 
     def work(self) -> float:
         """What most probes take, at servers that are not strained."""
-        usual = sorted(known for server in self.proxy.balancer.ready if (known := self.usual_near(server)))
+        usual = sorted(known for server in self.ready() if (known := self.usual_near(server)))
         return usual[(len(usual) - 1) // 2] if usual else 0.0
--- /dev/null
+++ b/brambleplank/net/reach.py
@@ -0,0 +1,24 @@
+"""How a server is reached, and what the proxy keeps of it beside the decisions' record."""
+
+from __future__ import annotations
+
+from brambleplank.decide import Server
+
+
+class Reach:
+    """How a server is reached, and how fast probes come back from it; `Server.handle` points here."""
+
+    def __init__(self, name: str) -> None:
+        self.name = name
+        self.address: tuple[str, int] | None = None
+        self.delays: list[float] = []  # of probes, newest last
+        self.usual_told = 0.0  # what a probe takes there within its zone, as another proxy says
+        self.waiting = 0.0  # how long the oldest line there has been without an answer
+        self.told_long, self.told_at = False, 0.0  # whether messages took long when last told, and when
+
+
+def reach_of(server: Server) -> Reach:
+    found: Reach | None = server.handle
+    if found is None:
+        found = server.handle = Reach(server.id)
+    return found
--- a/brambleplank/net/start.py
+++ b/brambleplank/platform/start.py
@@ -1,40 +1,20 @@
-"""The one place where configuration is read, checked and given defaults: at the start, and on SIGHUP."""
+"""The one place where the platform's configuration is read and checked: at the start, and on SIGHUP."""
 
 from __future__ import annotations
 
 import json
 import os
 from dataclasses import dataclass
-from math import inf
 from typing import Any
 
+from brambleplank.checks import UnfitError, address, check_settings
 from brambleplank.host import Terms
-from brambleplank.net.discovery import GarbledError, list_of
-from brambleplank.terms import EFFECTS, terms_of
+from brambleplank.sources.platform.discovery import GarbledError, list_of
+from brambleplank.terms import terms_of
 
 FEWEST_DESCRIPTORS = 64
 LIVE = ("discovery", "limits.sockets", "peers", "peers_all")  # what SIGHUP changes; the rest takes a restart
 UNREAD = ("limits.cores", "limits.memory_mb")
-KINDS = {
-    dict: "an object", list: "a list", str: "a word", bool: "true or false", int: "a whole number",
-    float: "a number",
-}
-READ: tuple[tuple[str, type, float], ...] = (  # key, kind, least
-    ("balancers", int, 1), ("slot_no", int, 0), ("tick_us", float, 1), ("discovery", str, 0),
-    ("service_types", list, 0), ("policy_limits.max_connects", int, 1),
-    ("policy_limits.cancelling", bool, 0), ("policy_limits.retry_after", bool, 0),
-    ("policy_limits.max_retry_after_us", float, 0), ("policy_limits.connect_timeout_us", float, 1),
-    ("rules.stop_sending_within_us", float, 0), ("rules.ask_within_us", float, 1),
-    ("rules.cold_from", float, 0), ("rules.ramp_time_us", float, 1), ("rules.overload_factor", float, 0),
-    ("rules.fall_us", float, 1),
-)
-READ_OF_TYPES: tuple[tuple[str, type, float], ...] = (
-    ("name", str, 0), ("effect", str, 0), ("setup_target_us", float, 1), ("deadline_us", float, 1),
-)
-
-
-class UnfitError(Exception):
-    """What keeps the program from starting, in words that name the key."""
 
 
 @dataclass(frozen=True)
@@ -54,13 +34,6 @@
     file: dict[str, Any]  # as it was read
 
 
-def address(text: Any, key: str) -> tuple[str, int]:
-    host, _, port = text.rpartition(":") if isinstance(text, str) else ("", "", "")
-    if not host or not port.isdigit() or not 0 < int(port) < 65536:
-        raise UnfitError(f"{key}: need an address like 10.0.0.4:5000, not {text!r:.60}")
-    return host, int(port)
-
-
 def read(before: Told | None = None) -> Told:
     path = os.environ.get("ROUTER_CONFIG")
     if not path:
@@ -134,40 +107,3 @@
         terms=terms,
         file=told,
     )
-
-
-def check_settings(settings: Any) -> None:
-    """Every setting that is read: there, of its kind, in its range."""
-    need(settings, "settings", dict)
-    for key, kind, least in READ:
-        value, at = settings, "settings"
-        for part in key.split("."):
-            need(value, at, dict)
-            at = f"{at}.{part}"
-            if part not in value:
-                raise UnfitError(f"{at}: missing")
-            value = value[part]
-        need(value, at, kind, least)
-    need(settings.get("tenants") or [], "settings.tenants", list)
-    for i, item in enumerate(settings.get("tenants") or []):
-        need(item, f"settings.tenants[{i}]", dict)
-        need(item.get("name"), f"settings.tenants[{i}].name", str)
-    if not settings["service_types"]:
-        raise UnfitError("settings.service_types: need one at least")
-    for i, item in enumerate(settings["service_types"]):
-        at = f"settings.service_types[{i}]"
-        need(item, at, dict)
-        for key, kind, least in READ_OF_TYPES:
-            if key not in item:
-                raise UnfitError(f"{at}.{key}: missing")
-            need(item[key], f"{at}.{key}", kind, least)
-        if item["effect"] not in EFFECTS:
-            raise UnfitError(f"{at}.effect: need one of {', '.join(EFFECTS)}, not {item['effect']!r:.40}")
-
-
-def need(value: Any, key: str, kind: type, least: float = 0) -> None:
-    right = isinstance(value, (int, float) if kind is float else kind) and (kind is bool or value is not True)
-    if not right:
-        raise UnfitError(f"{key}: need {KINDS[kind]}, not {value!r:.60}")
-    if kind in (int, float) and not least <= value < inf:
-        raise UnfitError(f"{key}: need {least} at least, not {value!r:.60}")
--- /dev/null
+++ b/brambleplank/seams.py
@@ -0,0 +1,138 @@
+"""The interface between the proxy and what stands before and behind it: fronts and sources.
+
+A front speaks one protocol. It takes clients' connections and hands each flow to the proxy; what the proxy
+asks of it is here: a client, a connect, a probe. A source follows one kind of list of servers and tells the
+proxy of it. Fronts and sources call the proxy itself (`net/proxy.py`); it knows them by these shapes alone.
+All times are seconds with fractions.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+from typing import Protocol
+
+from brambleplank.decide import Flow, Server
+from brambleplank.host import Condition, End
+
+Address = tuple[str, int]
+Entry = tuple[str, str, int, Condition, float, float]  # id, zone, cell, condition, size, latest start
+
+
+class Reach(Protocol):
+    """How a server is reached."""
+
+    @property
+    def name(self) -> str: ...
+
+    @property
+    def address(self) -> Address | None:
+        """None: not known, and a connect there counts as unreachable."""
+
+
+class Connect(Protocol):
+    """One connect of a flow, as its front carries it; it tells `Proxy.stands` and `Proxy.connect_over`."""
+
+    up: bool
+    over: bool
+    asked: float  # when the oldest line without an answer was passed on; 0: none waits
+
+    @property
+    def client(self) -> Client: ...
+
+    @property
+    def number(self) -> int:
+        """Its place among the flow's connects, from 0 in the order made."""
+
+    @property
+    def reach(self) -> Reach: ...
+
+    @property
+    def sent(self) -> float:
+        """When it was made."""
+
+    def written(self) -> bool:
+        """Whether the server may have had all of the opening: from then on it may have run."""
+
+    def code(self, end: End) -> str:
+        """The reason code for the log, of an established connection that its server ended so."""
+
+    def close(self, reset: bool = False) -> None:
+        """Nothing more is heard of it; its connection ends, in a reset if asked for."""
+
+
+class Client(Protocol):
+    """A client's connection, from its opening to its end."""
+
+    flow: Flow | None
+    at: tuple[str, int, int | None, Server] | None  # service type, key, group, server where it stood before
+
+    @property
+    def id(self) -> str:
+        """As its opening has it; "" before that."""
+
+    @property
+    def came(self) -> float:
+        """When its opening was whole; 0 before that."""
+
+    @property
+    def done(self) -> str:
+        """The reason code of its end; "" while it is open."""
+
+    @property
+    def connects(self) -> Sequence[Connect]: ...
+
+    @property
+    def standing(self) -> Connect | None:
+        """The connect that is established."""
+
+    def dial(self, reach: Reach, wait: float) -> None:
+        """Makes the next connect, given up after so long; 0: as long as what stood before may take."""
+
+    def reject(self, pause: float) -> None:
+        """The final answer that trying again is harmless, best after the pause (0: no advice)."""
+
+    def abort(self, code: str) -> None:
+        """The final answer that promises nothing."""
+
+    def move(self) -> None:
+        """Ends an established connection politely, between two messages; the client comes again."""
+
+    def part(self, code: str, reset: bool) -> None:
+        """Its server ended the connection; the end is passed on in kind."""
+
+    def show_out(self) -> None:
+        """It is no flow, and there is no room for it to stand about."""
+
+
+class Probe(Protocol):
+    """A standing connection to a server, one question at a time; it tells `Probes.took` and `Probes.gone`."""
+
+    asked: float  # when the question that is out was sent; 0: none is
+    longer: list[float]  # by how much those before were, if this one is to confirm them
+
+    @property
+    def server(self) -> Server: ...
+
+    def ask(self) -> None: ...
+
+    def close(self) -> None: ...
+
+
+class Listener(Protocol):
+    """Where a front takes connections in."""
+
+    @property
+    def held(self) -> bool:
+        """Whether connections are being left in the kernel."""
+
+    def resume(self) -> None: ...
+
+
+class Source(Protocol):
+    """Follows a list of servers; it tells `Proxy.list_told` and `Proxy.list_failed`."""
+
+    def follow(self) -> None:
+        """Begins, or begins again after a failure; nothing happens while it is following."""
+
+    def stop(self) -> None:
+        """Nothing more is heard of it."""
--- /dev/null
+++ b/brambleplank/sources/platform/__init__.py
@@ -0,0 +1,1 @@
+"""The list as the platform's discovery tells it: a watch over HTTP."""
--- a/brambleplank/net/discovery.py
+++ b/brambleplank/sources/platform/discovery.py
@@ -4,7 +4,7 @@
 
 import json
 from math import inf
-from typing import TYPE_CHECKING, Any
+from typing import Any
 
 from twisted.internet import defer
 from twisted.internet.endpoints import TCP4ClientEndpoint
@@ -18,23 +18,20 @@
 
 from brambleplank.host import Condition
 from brambleplank.net.loop import reactor
-
-if TYPE_CHECKING:
-    from brambleplank.net.proxy import Proxy
+from brambleplank.net.proxy import Proxy
+from brambleplank.seams import Address, Entry
 
 CATCHING_UP = 2.5  # seconds in which discovery at a new address may still be behind what is held
 SOON_AGAIN = 0.25  # seconds between two requests meanwhile
 SILENT_AFTER = 4.3  # seconds: two empty-line periods and a little
 CONDITIONS = {"ready": Condition.READY, "draining": Condition.DRAINING, "gone": Condition.GONE}
 
-Entry = tuple[str, str, int, Condition, float, float]
-
 
 class GarbledError(ValueError):
     """Not a list of servers."""
 
 
-def list_of(told: Any) -> tuple[int, bool, list[Entry], dict[str, tuple[str, int]]]:
+def list_of(told: Any) -> tuple[int, bool, list[Entry], dict[str, Address]]:
     """A list's version, whether it is whole, its entries, and the addresses from here."""
     try:
         entries, addresses = [], {}
@@ -126,13 +123,16 @@
         Danger: versions need not count alike there, and a change missed on the way would stay missed; so the
         whole list is asked for.
         """
+        self.stop()
+        self.at(address)
+        self.version, self.moved_at = None, self.proxy.clock.now()
+        self.follow()
+
+    def stop(self) -> None:
         self.drop()
         asking, self.asking = self.asking, None
         if asking:
             asking.cancel()
-        self.at(address)
-        self.version, self.moved_at = None, self.proxy.now()
-        self.follow()
 
     def drop(self) -> None:
         watch, self.watch = self.watch, None
@@ -141,6 +141,12 @@
             if watch.transport is not None:
                 watch.transport.loseConnection()
 
+    def begin(self, told: Any) -> None:
+        """Takes up the list as this proxy last had it."""
+        self.version, _, entries, addresses = list_of(told)
+        self.newest = self.version or 0
+        self.proxy.list_told(entries, addresses, True)
+
     def follow(self) -> None:
         if self.asking or self.watch:
             return
@@ -165,9 +171,9 @@
         if asked is not self.asking:
             return  # it was called off, or asked where discovery no longer is
         self.asking = None
-        if self.proxy.now() < self.moved_at + CATCHING_UP:
+        if self.proxy.clock.now() < self.moved_at + CATCHING_UP:
             # Danger: a new address that opens a moment late would wait out the pause after older failures.
-            self.proxy.later(SOON_AGAIN, self.follow)
+            self.proxy.clock.later(SOON_AGAIN, self.follow)
             return
         self.proxy.list_failed(why if isinstance(why, str) else type(why.value).__name__)
 
@@ -188,10 +194,11 @@
             self.broke(f"garbled: {error}")
             return
         self.version = version
-        if version < self.newest and self.proxy.now() < self.moved_at + CATCHING_UP:
+        if version < self.newest and self.proxy.clock.now() < self.moved_at + CATCHING_UP:
             # Danger: at another address an older list may be told first; taken up, it would bring back
             # servers that are known to drain. If it stays behind, versions count otherwise there: it holds.
-            self.proxy.later(self.moved_at + CATCHING_UP - self.proxy.now(), self.caught_up, self.watch)
+            wait = self.moved_at + CATCHING_UP - self.proxy.clock.now()
+            self.proxy.clock.later(wait, self.caught_up, self.watch)
             return
         self.newest = version
         self.proxy.list_told(entries, addresses, whole)
--- a/tests/test_sockets.py
+++ b/tests/test_sockets.py
@@ -14,9 +14,10 @@
 
 import pytest
 
+from brambleplank.net.clock import Clock
 from brambleplank.net.probes import Probes
-from brambleplank.net.servers import Reach
-from tests.conftest import SETTINGS, Discovery, Line, Program, Server, start, told
+from brambleplank.net.reach import Reach
+from tests.conftest import SETTINGS, TERMS, Discovery, Line, Program, Server, start, told
 
 Run = Callable[..., Program]
 
@@ -266,7 +267,7 @@
     code = f"""
 import sys
 from brambleplank.decide import Balancer
-from brambleplank.net.run import main
+from brambleplank.platform.run import main
 sound = Balancer.{call}
 def faulty(self, *what):
     Balancer.{call} = sound
@@ -320,13 +321,10 @@
 def test_a_probe_late_twice_in_a_row_tells_strain_and_a_hung_server_does_not_lower_the_usual() -> None:
     said: list[float] = []
     reach = Reach("s0")
-    server = SimpleNamespace(zone="a", handle=reach)
-    fleet = [server]
-    proxy: Any = SimpleNamespace(
-        reach=lambda each: each.handle, measured=lambda _, seconds: said.append(seconds), shortest=0.1,
-        terms=SimpleNamespace(zone="a"), balancer=SimpleNamespace(ready=fleet),
-    )
-    probes = Probes(proxy)
+    server: Any = SimpleNamespace(zone="a", handle=reach)
+    fleet: list[Any] = [server]
+    begin: Any = None
+    probes = Probes(Clock(), TERMS, lambda: fleet, lambda _, seconds: said.append(seconds), begin)
     asked: list[int] = []
     probe: Any = SimpleNamespace(server=server, longer=[], ask=lambda: asked.append(1))
     for delay in (0.0040, 0.0042, 0.0041, 0.0040, 0.0043, 0.0006, 0.0041, 0.0042, 0.0040):
