--- /dev/null
+++ b/brambleplank/addresses.py
@@ -0,0 +1,59 @@
+"""Addresses as people write them, and when two are the same place. Free of I/O: no name is looked up."""
+
+from __future__ import annotations
+
+from ipaddress import IPv4Address, IPv6Address, ip_address
+
+Address = tuple[str, int]
+LOCAL = {"localhost": "127.0.0.1", "localhost.localdomain": "127.0.0.1", "ip6-localhost": "::1"}
+
+
+def read(text: str) -> Address | None:
+    """Host and port of "127.0.0.1:7400", "[::1]:7400" or "localhost:7400"; None if it is no address.
+
+    A name other than localhost is none: a look-up can hang, or change under standing flows.
+    """
+    host, colon, port = text.rpartition(":")
+    if not colon or not port.isascii() or not port.isdigit() or not 0 < int(port) < 65536:
+        return None
+    if host.startswith("[") and host.endswith("]"):
+        host = host[1:-1]
+    elif ":" in host:
+        return None
+    found = ip(host)
+    return (str(found), int(port)) if found else None
+
+
+def ip(host: str) -> IPv4Address | IPv6Address | None:
+    """The address that a host stands for, whichever way it is written."""
+    try:
+        found = ip_address(LOCAL.get(host.lower().rstrip("."), host))
+    except ValueError:
+        return None
+    mapped = getattr(found, "ipv4_mapped", None)
+    return mapped or found
+
+
+def on_loopback(host: str) -> bool:
+    found = ip(host)
+    return found is not None and found.is_loopback
+
+
+def meets(listener: Address, other: Address) -> bool:
+    """Whether a connection to the other address would come in at the listener.
+
+    A listener on every address (0.0.0.0 or ::) takes in what comes to any of this machine's own; of these
+    only loopback is known without asking the machine.
+    """
+    if listener[1] != other[1]:
+        return False
+    here, there = ip(listener[0]), ip(other[0])
+    if here is None or there is None:
+        return listener[0] == other[0]
+    if here.is_unspecified:
+        return there.is_unspecified or there.is_loopback
+    return here == there or (there.is_unspecified and here.is_loopback)
+
+
+def text(address: Address) -> str:
+    return f"[{address[0]}]:{address[1]}" if ":" in address[0] else f"{address[0]}:{address[1]}"
--- /dev/null
+++ b/brambleplank/command/convert_.py
@@ -0,0 +1,52 @@
+"""`brambleplank convert`."""
+
+from __future__ import annotations
+
+import json
+import sys
+from pathlib import Path
+from typing import NoReturn
+
+import click
+
+from brambleplank.sidecar import reader, writer
+
+
+@click.command("convert")
+@click.argument("file", type=click.Path())
+@click.option("-o", "--out", type=click.Path(), help="Write there instead of to standard output.")
+def command(file: str, out: str | None) -> None:
+    """Turn the platform's JSON into a sidecar's file, or a sidecar's file into the platform's JSON."""
+    text = reader.text_of(file)
+    if not isinstance(text, str):
+        fail(f"{file}: {text.wrong}; {text.instead}")
+    result = to_toml(file, text) if text.lstrip().startswith("{") else to_json(file)
+    if out:
+        Path(out).write_text(result, encoding="utf-8")
+    else:
+        click.echo(result, nl=False)
+
+
+def to_json(file: str) -> str:
+    told = reader.read(file)
+    if told.faults or told.file is None:
+        fail("\n".join(told.lines()))
+    if told.file.listen.socket:
+        fail(f"{file}: listen.socket: the platform has no Unix sockets; write an address")
+    return json.dumps(writer.to_platform(told.file, told.servers), indent=1) + "\n"
+
+
+def to_toml(file: str, text: str) -> str:
+    try:
+        return writer.text(writer.from_platform(json.loads(text)))
+    except (ValueError, RecursionError) as error:
+        fail(f"{file}: {error}")
+    except KeyError as error:
+        fail(f"{file}: {error.args[0]}: missing")
+    except (TypeError, AttributeError, IndexError) as error:
+        fail(f"{file}: not the platform's form: {error}")
+
+
+def fail(why: str) -> NoReturn:
+    click.echo(why, err=True)
+    sys.exit(2)
--- /dev/null
+++ b/brambleplank/command/new_.py
@@ -0,0 +1,139 @@
+"""`brambleplank new`."""
+
+from __future__ import annotations
+
+import os
+import sys
+from pathlib import Path
+from typing import Any
+
+import click
+import tomlkit
+
+from brambleplank.sidecar import reader, writer
+from brambleplank.sidecar.rules import descriptors_for, judge, memory_for
+from brambleplank.sidecar.shapes import File
+from brambleplank.sources.file.entries import Server, doubled
+from brambleplank.tables import Reading, judged, size_text
+
+EFFECTS = ("repeatable", "referenced", "once-only")
+LISTEN = "127.0.0.1:7400"
+SERVICE_HELP = "NAME:EFFECT:SETUP:TIMEOUT, and :GROUP:WINDOW for referenced; may be given again."
+
+
+@click.command("new")
+@click.option("--application", help="The application's name.")
+@click.option("--listen", help=f"Address on loopback where it connects; {LISTEN} if left out.")
+@click.option("--socket", help="Or the path of a Unix socket.")
+@click.option("--service", "services", multiple=True, help=SERVICE_HELP)
+@click.option("--server", "servers", multiple=True, help="NAME=ADDRESS; may be given again.")
+@click.option("--zone", default="", help="The sidecar's own zone.")
+@click.option("--connections", type=int, help="Standing connections at most.")
+@click.option("--drain", help='Drain window, like "1s".')
+@click.option("--connects", type=int, help="Connects a flow, 1 to 4.")
+@click.option("--ask", is_flag=True, help="Ask for what was not given, even of no terminal.")
+@click.option("-o", "--out", type=click.Path(), help="The file to write; APPLICATION.toml if left out.")
+@click.option("--force", is_flag=True, help="Write over a file that is there.")
+def command(
+    application: str | None, listen: str | None, socket: str | None, services: tuple[str, ...],
+    servers: tuple[str, ...], zone: str, connections: int | None, drain: str | None, connects: int | None,
+    ask: bool, out: str | None, force: bool,
+) -> None:
+    """Write a commented file for one application, from options or questions, and its file of servers.
+
+    Nothing is written that `check` would refuse.
+    """
+    asks = ask or sys.stdin.isatty()
+    application = application or asked(asks, "Application", "--application")
+    if not listen and not socket:
+        listen = asked(asks, "Address where it connects", "--listen", LISTEN) if asks else LISTEN
+    if not services:
+        services = tuple(ask_services(asks))
+    if not servers:
+        servers = tuple(asked(asks, "Servers (NAME=ADDRESS, by blanks)", "--server").split())
+    path = Path(out or f"{application}.toml")
+    beside = path.with_name(f"{path.stem}.servers.toml")
+    document: dict[str, Any] = {
+        "application": application, "zone": zone,
+        "listen": {"socket": socket} if socket else {"address": listen},
+        "service_type": [service(text) for text in services], "servers": {"file": beside.name},
+    }
+    if drain:
+        document["drain"] = {"window": drain}
+    if connects is not None:
+        document["connects"] = {"most": connects}
+    if connections is not None:
+        document["limits"] = {"connections": connections, **room_for(connections, len(servers))}
+    listed = [server(text, zone) for text in servers]
+    file = without_fault(document, listed)
+    for each in (path, beside):
+        if each.exists() and not force:
+            raise click.ClickException(f"{each}: is there; --force writes over it")
+    replace(beside, writer.servers_text(listed))
+    replace(path, writer.text(file))
+    click.echo(f"{path}: written; servers in {beside}")
+    click.echo(f"Next: brambleplank check {path}; brambleplank run {path}")
+
+
+def asked(asks: bool, question: str, option: str, default: str | None = None) -> str:
+    if not asks:
+        raise click.UsageError(f"{option}: missing, and there is nobody to ask")
+    answer: str = click.prompt(question, default=default)
+    return answer
+
+
+def ask_services(asks: bool) -> list[str]:
+    name = asked(asks, "Service type", "--service", "warnings")
+    effect = click.prompt("What if a flow runs twice?", type=click.Choice(EFFECTS), default="once-only")
+    setup = click.prompt("Setup target", default="300ms")
+    timeout = click.prompt("Connect timeout", default="1800ms")
+    more = ""
+    if effect == "referenced":
+        groups = click.Choice(("all", "zone", "cell"))
+        group = click.prompt("Servers that drop repeats", type=groups, default="all")
+        more = f":{group}:{click.prompt('For how long', default='5s')}"
+    return [f"{name}:{effect}:{setup}:{timeout}{more}"]
+
+
+def service(text: str) -> dict[str, Any]:
+    parts = text.split(":")
+    if len(parts) not in (4, 6):
+        raise click.UsageError(f"--service {text}: need {SERVICE_HELP}")
+    keys = ("name", "effect", "setup_target", "connect_timeout", "group", "window")
+    return dict(zip(keys, parts, strict=False))
+
+
+def server(text: str, zone: str) -> Server:
+    name, equals, address = text.partition("=")
+    if not equals:
+        raise click.UsageError(f"--server {text}: need NAME=ADDRESS")
+    return Server(name=name, address=address, zone=zone)
+
+
+def room_for(connections: int, servers: int) -> dict[str, Any]:
+    """Descriptors and memory that so many connections need, with some to spare."""
+    mib = 1024**2
+    memory = -(-max(128 * mib, memory_for(connections, servers)) // (64 * mib)) * 64 * mib
+    return {
+        "descriptors": max(1024, descriptors_for(connections, servers)), "memory": size_text(memory),
+    }
+
+
+def without_fault(document: dict[str, Any], servers: list[Server]) -> File:
+    """The file of the options, or the end of the command with every fault in it."""
+    reading = Reading(tomlkit.dumps(document))
+    file = reading.decode(File, reading.tables)
+    judge(reading, file, servers, reader.machine())
+    judged([lambda: doubled(reading, servers, ("server",))])
+    if reading.faults:
+        for fault in sorted(set(reading.faults)):
+            click.echo(f"{fault.key}: {fault.wrong}; {fault.instead}", err=True)
+        sys.exit(2)
+    return file
+
+
+def replace(path: Path, text: str) -> None:
+    """Danger: written in place, a sidecar that follows the file could read half of it."""
+    part = path.with_name(f".{path.name}.part")
+    part.write_text(text, encoding="utf-8")
+    os.replace(part, path)
--- /dev/null
+++ b/brambleplank/emulator/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for what the proxy speaks to; the proxy never imports them."""
--- /dev/null
+++ b/brambleplank/emulator/trial.py
@@ -0,0 +1,198 @@
+"""A first look: a sidecar, four stand-in servers, flows of each service type; one server drains, one dies.
+
+What is told at the end comes from the clients' and the servers' own records, and from nobody else.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import random
+import signal
+import sys
+import tempfile
+import time
+from collections import Counter
+from contextlib import suppress
+from pathlib import Path
+
+from brambleplank.emulator.clients import Caller, Story
+from brambleplank.emulator.servers import StandIn
+from brambleplank.sidecar import writer
+from brambleplank.sidecar.shapes import Connects, File, Limits, Listen, ServiceType
+from brambleplank.sidecar.shapes import Servers as ServersFile
+from brambleplank.sources.file.entries import Server
+from brambleplank.tables import Seconds
+
+PATIENCE = 1.8  # seconds that a client waits for its answer
+LATE = 0.05  # seconds that sockets may add to a limit
+STAYS = (0.5, 3.0)  # seconds that a flow stands
+START_WITHIN, END_WITHIN = 15.0, 10.0
+DRAIN = 1.0  # seconds
+TYPES = [
+    ServiceType("map-views", "repeatable", Seconds(0.3), Seconds(PATIENCE)),
+    ServiceType("orders", "referenced", Seconds(0.3), Seconds(PATIENCE), None, "all", Seconds(5.0)),
+    ServiceType("warnings", "once-only", Seconds(0.3), Seconds(PATIENCE)),
+]
+GIVEN = ("established", "rejected", "aborted")
+ENDS = ("done", "moved", "bye", "broke")
+
+
+class Trial:
+    """One run of it."""
+
+    def __init__(self, folder: Path, seconds: float, rate: int) -> None:
+        self.folder, self.seconds, self.rate = folder, seconds, rate
+        self.rng = random.Random(1)
+        self.servers = [StandIn(f"feed{n}") for n in range(1, 5)]
+        self.states = {server.name: "ready" for server in self.servers}
+        self.stories: list[Story] = []
+        self.open: set[Caller] = set()
+        self.tasks: set[asyncio.Task[None]] = set()
+        self.socket = folder / "brambleplank.sock"
+        self.drained_at = 0.0
+        self.log = folder / "sidecar.log"
+
+    async def play(self) -> int:
+        """Its exit code: 1 if a rule was broken, 2 if the sidecar did not start."""
+        for server in self.servers:
+            await server.listen()
+        self.write_servers()
+        file = File(
+            "trial", Listen(socket=str(self.socket)), TYPES, limits=Limits(connections=400, descriptors=1024),
+            connects=Connects(), servers=ServersFile("trial.servers.toml"),
+        )
+        path = self.folder / "trial.toml"
+        path.write_text(writer.text(file), encoding="utf-8")
+        with self.log.open("wb") as log:
+            sidecar = await asyncio.create_subprocess_exec(
+                sys.executable, "-m", "brambleplank.command", "run", str(path), stderr=log
+            )
+            try:
+                if not await self.ready(sidecar):
+                    print(self.log.read_text(), file=sys.stderr)
+                    return 2
+                await self.morning()
+                sidecar.send_signal(signal.SIGTERM)
+                code = await asyncio.wait_for(sidecar.wait(), END_WITHIN)
+            finally:
+                if sidecar.returncode is None:
+                    sidecar.kill()
+                    await sidecar.wait()
+        return self.tell(code)
+
+    async def ready(self, sidecar: asyncio.subprocess.Process) -> bool:
+        until = time.monotonic() + START_WITHIN
+        while time.monotonic() < until and sidecar.returncode is None:
+            if "ready: " in self.log.read_text():
+                return True
+            await asyncio.sleep(0.02)
+        return False
+
+    def write_servers(self) -> None:
+        part = self.folder / ".trial.part"
+        part.write_text(writer.servers_text([
+            Server(name=server.name, address=server.address, state=self.states[server.name])  # type: ignore[arg-type]
+            for server in self.servers if self.states[server.name] != "gone"
+        ]), encoding="utf-8")
+        os.replace(part, self.folder / "trial.servers.toml")
+
+    async def morning(self) -> None:
+        """Flows all the time; a quarter in, feed1 drains; half in, feed2 dies; then feed1 is gone."""
+        began, sent = time.monotonic(), 0
+        events = [
+            (0.25, "feed1 drains", self.drain), (0.5, "feed2 dies", self.die),
+            (0.75, "feed1 is gone", self.gone),
+        ]
+        while (now := time.monotonic() - began) < self.seconds:
+            while events and now >= events[0][0] * self.seconds:
+                print(f"{now:5.1f} s  {events[0][1]}")
+                events.pop(0)[2]()
+            while sent < now * self.rate:
+                self.call(TYPES[sent % len(TYPES)].name)
+                sent += 1
+            await asyncio.sleep(0.005)
+        print(f"{self.seconds:5.1f} s  the sidecar is told to leave")
+
+    def drain(self) -> None:
+        self.states["feed1"] = "draining"
+        self.write_servers()
+        self.drained_at = time.time()
+
+    def die(self) -> None:
+        self.servers[1].kill()
+
+    def gone(self) -> None:
+        self.states["feed1"] = "gone"
+        self.write_servers()
+        self.servers[0].finish()
+
+    def call(self, service_type: str, returns: bool = False) -> None:
+        story = Story(f"{self.rng.getrandbits(64):016x}", service_type, time.time(), returns=returns)
+        self.stories.append(story)
+        caller = Caller(
+            story, f"{self.rng.getrandbits(64):016x}", PATIENCE, self.rng.uniform(*STAYS), self.over
+        )
+        task = asyncio.create_task(self.reach(caller))
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+
+    async def reach(self, caller: Caller) -> None:
+        with suppress(OSError):
+            await asyncio.get_running_loop().create_unix_connection(lambda: caller, str(self.socket))
+
+    def over(self, story: Story) -> None:
+        if story.ended in ("moved", "broke", "bye") and not story.returns and self.socket.exists():
+            self.call(story.service_type, returns=True)
+
+    def tell(self, code: int) -> int:
+        """Prints what became of all, and whether the rules were kept."""
+        print(f"\n{'service type':14}{'flows':>7}" + "".join(f"{word:>13}" for word in GIVEN)
+              + "   then " + "".join(f"{word:>7}" for word in ENDS) + f"{'setup p50':>12}{'p99':>9}")
+        for kind in TYPES:
+            mine = [story for story in self.stories if story.service_type == kind.name]
+            answers = Counter(story.answers[0] for story in mine if story.answers)
+            ends = Counter(story.ended for story in mine)
+            waits = sorted(story.setup for story in mine if story.answers[:1] == ["established"]) or [0.0]
+            print(f"{kind.name:14}{len(mine):7}" + "".join(f"{answers[word]:13}" for word in GIVEN)
+                  + "        " + "".join(f"{ends[word]:7}" for word in ENDS)
+                  + f"{waits[len(waits) // 2] * 1000:9.1f} ms{waits[len(waits) * 99 // 100] * 1000:6.1f} ms")
+        print()
+        for server in self.servers:
+            print(f"{server.name}  {len(server.openings):5} flows  {self.states[server.name]}")
+        faults = self.faults(code)
+        print("\nRules: " + ("all kept" if not faults else "; ".join(faults)))
+        print("Next: brambleplank new, then check, explain and run; docs/sidecar.md")
+        return 1 if faults else 0
+
+    def faults(self, code: int) -> list[str]:
+        """What the records say of the four rules, and of the sidecar's own end."""
+        found = []
+        if code:
+            found.append(f"the sidecar ended with {code}")
+        for story in self.stories:
+            if len(story.answers) != 1:
+                found.append(f"flow {story.id} had {len(story.answers)} final answers")
+            elif story.setup > PATIENCE + LATE:
+                found.append(f"flow {story.id} was answered after {story.setup:.2f} s")
+        had = Counter(opening.flow for server in self.servers for opening in server.openings)
+        once = {story.id for story in self.stories if story.service_type == "warnings"}
+        found += [f"once-only flow {flow} reached {times} servers" for flow, times in had.items()
+                  if times > 1 and flow in once]
+        if self.drained_at:
+            after = [opening.at - self.drained_at for opening in self.servers[0].openings]
+            last = max(after, default=0.0)
+            when = f"{last:.2f} s after" if last > 0 else "before"
+            print(f"feed1 had its last new flow {when} the list told of its drain ({DRAIN} s: allowed)")
+            if last > DRAIN + LATE:
+                found.append("the drain was not kept")
+        return found
+
+
+def main(seconds: float, rate: int, keep: str | None) -> int:
+    """Plays it in a folder of its own, or in the one to keep."""
+    if keep:
+        Path(keep).mkdir(parents=True, exist_ok=True)
+        return asyncio.run(Trial(Path(keep).resolve(), seconds, rate).play())
+    with tempfile.TemporaryDirectory() as folder:
+        return asyncio.run(Trial(Path(folder), seconds, rate).play())
--- a/brambleplank/net/buffers.py
+++ b/brambleplank/net/buffers.py
@@ -105,26 +105,32 @@
     """A connection to a server."""
 
 
-class Listener(tcp.Port):
+class HeldBack:
     """Lets in as many as its factory has room for; the others wait in the kernel."""
 
-    transport = Incoming
     held = False
     factory: Any
+    numberAccepts: int  # noqa: N815
 
     def doRead(self) -> None:  # noqa: N802
         room = self.factory.room()
         if room <= 0:
             self.held = True
-            self.stopReading()
+            self.stopReading()  # type: ignore[attr-defined]
             return
         self.numberAccepts = min(self.numberAccepts, room)
-        super().doRead()
+        super().doRead()  # type: ignore[misc]
 
     def resume(self) -> None:
         self.held = False
-        if not self.disconnecting and self.connected:
-            self.startReading()
+        if not self.disconnecting and self.connected:  # type: ignore[attr-defined]
+            self.startReading()  # type: ignore[attr-defined]
+
+
+class Listener(HeldBack, tcp.Port):
+    """Takes clients' connections in at an address."""
+
+    transport = Incoming
 
 
 class Dialer(tcp.Connector):
--- a/brambleplank/net/door.py
+++ b/brambleplank/net/door.py
@@ -24,6 +24,7 @@
     def __init__(self, clock: Clock, descriptors: int) -> None:
         self.clock = clock
         self.descriptors, self.in_use = descriptors, BY_THE_PROGRAM
+        self.memory_free = 1.0  # the share of the memory allowed; 1 where none is counted
         self.listeners: list[Listener] = []
         self.waiting: dict[Client, float] = {}  # without a whole first line, longest first, and since when
         self.leaving: dict[Client, float] = {}  # answered, and not gone yet
@@ -39,8 +40,8 @@
             self.let_in()
 
     def free(self) -> float:
-        """The share of the descriptors that is free."""
-        return 1 - self.in_use / self.descriptors
+        """The share of the descriptors that is free, or of memory where that is less."""
+        return min(self.memory_free, 1 - self.in_use / self.descriptors)
 
     def came(self, client: Client) -> None:
         self.waiting[client] = self.clock.now()
--- /dev/null
+++ b/brambleplank/net/unix.py
@@ -0,0 +1,82 @@
+"""A Unix socket to listen on: one that a killed proxy left is replaced, one that is in use is not."""
+
+from __future__ import annotations
+
+import fcntl
+import os
+import socket
+import stat
+from typing import Any
+
+from twisted.internet import unix
+
+from brambleplank.net.buffers import HeldBack, PooledConnection
+
+
+class InUseError(Exception):
+    """The path is not free; the text says why."""
+
+
+class UnixIncoming(PooledConnection, unix.Server):
+    """A client's connection on a Unix socket."""
+
+    def setTcpNoDelay(self, enabled: bool) -> None:  # noqa: N802
+        """There is nothing to delay."""
+
+
+class UnixListener(HeldBack, unix.Port):
+    """Lets in as many as its factory has room for; the others wait in the kernel."""
+
+    transport = UnixIncoming
+
+
+class Claim:
+    """The right to a path, held by a lock beside it for as long as this process lives.
+
+    Danger: two sidecars that both found a socket left behind would each take away the other's. The kernel
+    gives the lock up when its holder is killed, so a socket without a holder is known to be left behind.
+    """
+
+    def __init__(self, path: str) -> None:
+        self.path = path
+        try:
+            self.lock = os.open(f"{path}.lock", os.O_CREAT | os.O_RDWR | os.O_CLOEXEC, 0o600)
+        except OSError as error:
+            raise InUseError(f"{path}.lock: {error.strerror}") from None
+        try:
+            fcntl.flock(self.lock, fcntl.LOCK_EX | fcntl.LOCK_NB)
+            self.clear()
+        except OSError:
+            os.close(self.lock)
+            raise InUseError(f"{path}: held by a living sidecar") from None
+        except InUseError:
+            os.close(self.lock)
+            raise
+
+    def clear(self) -> None:
+        """Takes away what a killed sidecar left at the path, and nothing else."""
+        try:
+            kind = os.lstat(self.path).st_mode
+        except FileNotFoundError:
+            return
+        if not stat.S_ISSOCK(kind):
+            raise InUseError(f"{self.path}: there, and no socket")
+        with socket.socket(socket.AF_UNIX, socket.SOCK_STREAM) as caller:
+            caller.settimeout(0.2)
+            try:
+                caller.connect(self.path)
+            except ConnectionRefusedError:
+                os.unlink(self.path)
+                return
+            except OSError as error:
+                raise InUseError(f"{self.path}: {error.strerror or 'does not answer'}") from None
+        raise InUseError(f"{self.path}: another program listens there")
+
+    def give_up(self) -> None:
+        """After the listener is closed; the lock's file stays, so that nobody locks a file that is gone."""
+        os.close(self.lock)
+
+
+def listener(claim: Claim, factory: Any, backlog: int, mode: int, reactor: Any) -> UnixListener:
+    path: Any = claim.path  # Twisted's types ask for bytes, its code takes both
+    return UnixListener(path, factory, backlog, mode, reactor)
--- /dev/null
+++ b/brambleplank/sidecar/reader.py
@@ -0,0 +1,130 @@
+"""A sidecar's file, read and judged as a whole: from its text, the environment and the machine."""
+
+from __future__ import annotations
+
+import os
+import resource
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Any
+
+from brambleplank.checks import UnfitError, check_settings
+from brambleplank.host import Terms
+from brambleplank.sidecar.rules import Machine, judge
+from brambleplank.sidecar.shapes import File, settings_of
+from brambleplank.sources.file import entries
+from brambleplank.tables import Fault, Reading, judged
+from brambleplank.terms import terms_of
+
+# Variables that give a value which the file leaves out. None may hide one that the file has.
+VARIABLES: dict[str, tuple[str, ...]] = {
+    "BRAMBLEPLANK_LISTEN": ("listen", "address"),
+    "BRAMBLEPLANK_SOCKET": ("listen", "socket"),
+    "BRAMBLEPLANK_SERVERS": ("servers", "file"),
+    "BRAMBLEPLANK_ZONE": ("zone",),
+}
+UNREADABLE = "cannot be read"
+
+
+@dataclass
+class Told:
+    """What a sidecar is told, or why it is not told it."""
+
+    path: str
+    file: File | None = None
+    servers: list[entries.Server] = field(default_factory=list)
+    terms: Terms | None = None
+    faults: list[Fault] = field(default_factory=list)
+    reading: Reading | None = None
+    given: dict[str, str] = field(default_factory=dict)  # keys that the environment gave, by which variable
+
+    def lines(self) -> list[str]:
+        """Every fault, as people read it."""
+        return [f"{self.path}: {fault}" for fault in self.faults]
+
+    def servers_path(self) -> str | None:
+        """The file of servers, beside the sidecar's own unless its path is whole; None: it lists them."""
+        if self.file is None or self.file.servers is None:
+            return None
+        return str(Path(self.path).parent / self.file.servers.file)
+
+
+def machine() -> Machine:
+    """What this machine allows this process."""
+    hard = resource.getrlimit(resource.RLIMIT_NOFILE)[1]
+    memory = os.sysconf("SC_PAGE_SIZE") * os.sysconf("SC_PHYS_PAGES")
+    return Machine(hard if hard != resource.RLIM_INFINITY else 0, max(0, memory))
+
+
+def text_of(path: str) -> str | Fault:
+    """A file's text, or what keeps it from being read."""
+    try:
+        return Path(path).read_bytes().decode()
+    except OSError as error:
+        return Fault(1, "file", f"{UNREADABLE}: {error.strerror}", "name a file that is there")
+    except UnicodeDecodeError as error:
+        return Fault(1, "file", f"not UTF-8 at byte {error.start}", "save it as UTF-8")
+
+
+def read(path: str, environment: dict[str, str] | None = None, limits: Machine | None = None) -> Told:
+    """The file at a path; every fault is in the result, none is raised."""
+    told = Told(path)
+    text = text_of(path)
+    if isinstance(text, Fault):
+        told.faults.append(text)
+        return told
+    reading = told.reading = Reading(text)
+    if not reading.torn:
+        hidden(told, reading, dict(os.environ) if environment is None else environment)
+        file = told.file = reading.decode(File, reading.tables)
+        judged([lambda: read_servers(told, file, reading)])
+        judge(reading, file, told.servers, limits or machine())
+        if not reading.faults:
+            told.terms = terms(reading, file)
+    told.faults = sorted(set(reading.faults))
+    return told
+
+
+def hidden(told: Told, reading: Reading, environment: dict[str, str]) -> None:
+    """Takes up what the environment gives, and refuses what would hide a value of the file."""
+    for variable, keys in VARIABLES.items():
+        if not environment.get(variable):
+            continue
+        table: Any = reading.tables
+        for key in keys[:-1]:
+            table = table.setdefault(key, {}) if isinstance(table, dict) else {}
+        if not isinstance(table, dict):
+            continue
+        if keys[-1] in table:
+            # Danger: the file then says one thing and the sidecar does another.
+            reading.fault(keys, f"{variable} in the environment would hide it", f"unset {variable}")
+        else:
+            table[keys[-1]] = environment[variable]
+            told.given[".".join(keys)] = variable
+
+
+def read_servers(told: Told, file: File, reading: Reading) -> None:
+    """The file of servers that the sidecar's names; its faults are named by its own lines."""
+    told.servers = file.server or []
+    path = told.servers_path()
+    if path is None:
+        return
+    text = text_of(path)
+    if isinstance(text, Fault):
+        reading.fault(("servers", "file"), f"{path} {text.wrong}", text.instead)
+        return
+    listed, told.servers = entries.read(text)
+    for fault in listed.faults:
+        where = f"{path} line {fault.line}: {fault.key}"
+        reading.fault(("servers", "file"), f"{where}: {fault.wrong}", fault.instead)
+
+
+def terms(reading: Reading, file: File) -> Terms | None:
+    """The same decoder, and the same checks, as for the platform's JSON."""
+    settings = settings_of(file)
+    try:
+        check_settings(settings)
+        return terms_of(settings, sockets=True)
+    except UnfitError as unfit:
+        reading.fault((), str(unfit), "report this: the sidecar's own checks should have named it")
+        return None
--- /dev/null
+++ b/brambleplank/sidecar/rules.py
@@ -0,0 +1,281 @@
+"""What no sidecar's file may say, where several keys are at fault together. Free of I/O.
+
+Each rule's comment names what it guards. Where a value of one key alone is at fault, its range in `shapes.py`
+refuses it; here stand the rules that need two keys, or the machine's limits, which the caller tells.
+"""
+
+from __future__ import annotations
+
+import re
+from dataclasses import dataclass
+from functools import partial
+from math import ceil
+
+from brambleplank import addresses
+from brambleplank.sidecar.shapes import ASKED_FOR, File
+from brambleplank.sources.file.entries import Server, doubled
+from brambleplank.tables import Reading, duration, judged, size_text
+
+FIRST_UNPRIVILEGED = 1024
+LONGEST_SOCKET_PATH = 107  # bytes, as Linux has it
+KEPT = 1 / 8  # share of descriptors and memory left to final answers and the list, as decisions have it
+BY_THE_PROGRAM = 24  # descriptors for the log, the reactor, the list, and those about to be closed
+BASE_MEMORY = 44 * 1024**2  # bytes that it holds with nothing to do, measured; docs/sidecar.md says how
+MEMORY_EACH = 48 * 1024  # bytes a standing connection may come to hold, its unsent lines included
+MEMORY_A_SERVER = 16 * 1024
+WORD = re.compile(r"[!-+\--~]{1,128}")  # what a field of OPEN can carry
+
+
+@dataclass(frozen=True)
+class Machine:
+    """What this machine allows a process of this user; 0 where it does not say."""
+
+    descriptors: int = 0
+    memory: int = 0
+
+
+def judge(reading: Reading, file: File, servers: list[Server], machine: Machine) -> None:
+    """Adds every fault to the reading. `servers` are those of the file itself or of the file it names."""
+    judged([
+        partial(application, reading, file), partial(listening, reading, file), partial(mode, reading, file),
+        partial(asked_for, reading, file), partial(some_type, reading, file), partial(cold, reading, file),
+        partial(whence, reading, file), partial(whole, reading, file),
+        partial(descriptors, reading, file, len(servers), machine),
+        partial(memory, reading, file, len(servers), machine),
+        *(partial(customer, reading, file, n) for n in counted(file, "customers")),
+        *(partial(rule, reading, file, n) for n in counted(file, "service_type")
+          for rule in (fits, named, setup, group, window)),
+        *(partial(not_itself, reading, file, n, server) for n, server in enumerate(servers)),
+        lambda: doubled(reading, file.server, ("server",)),
+    ])
+
+
+def counted(file: File, key: str) -> range:
+    """The numbers of a list's items; none where it could not be read."""
+    items = getattr(file, key)
+    return range(len(items)) if isinstance(items, list) else range(0)
+
+
+def application(reading: Reading, file: File) -> None:
+    if not file.application.strip():
+        reading.fault(("application",), "need a word", 'write application = "maps"')
+
+
+def customer(reading: Reading, file: File, n: int) -> None:
+    name = file.customers[n]
+    if not WORD.fullmatch(name):
+        reading.fault(
+            ("customers", n), f'"{name}" cannot stand in OPEN', "write printable letters, no space or comma"
+        )
+    if name in file.customers[:n]:
+        reading.fault(("customers", n), f'"{name}" stands twice', "write each customer once")
+
+
+def whence(reading: Reading, file: File) -> None:
+    """Servers stand in this file, or in one that it names."""
+    if file.server and file.servers:
+        reading.fault(("servers", "file"), "servers stand in this file too", "keep [servers] or [[server]]")
+    if not file.server and not file.servers:
+        reading.fault(("servers",), "missing: no servers", 'write [servers] with file = "maps.servers.toml"')
+
+
+def whole(reading: Reading, file: File) -> None:
+    """Danger: half of a file with servers is often well formed, and lists fewer of them."""
+    if file.server and file.end is None:
+        reading.places.lines.setdefault(("end",), reading.text.rstrip("\n").count("\n") + 1)
+        reading.fault(
+            ("end",), "missing: this may be half of a file", "end the file with a line [end], written last"
+        )
+    if file.end is not None and list(reading.tables)[-1] != "end":
+        reading.fault(("end",), "not the last table", "move [end] to the last line")
+
+
+def listening(reading: Reading, file: File) -> None:
+    """Where the application connects."""
+    listen = file.listen
+    if (listen.address is None) == (listen.socket is None):
+        both = "both an address and a socket" if listen.address else "neither an address nor a socket"
+        reading.fault(("listen",), both, 'write address = "127.0.0.1:7400", or socket = "/run/…", not both')
+    if listen.socket is not None:
+        if not listen.socket.startswith("/") or "\0" in listen.socket:
+            reading.fault(("listen", "socket"), "need a whole path", 'write one like "/run/maps/b.sock"')
+        elif len(listen.socket.encode()) > LONGEST_SOCKET_PATH:
+            reading.fault(
+                ("listen", "socket"), f"longer than {LONGEST_SOCKET_PATH} bytes", "choose a shorter path"
+            )
+    if listen.address is None:
+        return
+    where = addresses.read(listen.address)
+    if where is None:
+        reading.fault(
+            ("listen", "address"), f'"{listen.address}" is no address', 'write one like "127.0.0.1:7400"'
+        )
+        return
+    if where[1] < FIRST_UNPRIVILEGED:
+        # Danger: it would start for root alone, and a sidecar needs no rights of its own.
+        reading.fault(
+            ("listen", "address"), f"port {where[1]} is privileged", f"write {FIRST_UNPRIVILEGED} or more"
+        )
+    if not addresses.on_loopback(where[0]) and listen.outside_loopback != ASKED_FOR:
+        # Danger: whoever reaches it opens flows in the application's name; nothing asks who it is.
+        reading.fault(
+            ("listen", "address"), f"{where[0]} is outside loopback",
+            f'write 127.0.0.1, or outside_loopback = "{ASKED_FOR}"',
+        )
+
+
+def mode(reading: Reading, file: File) -> None:
+    if not re.fullmatch(r"0?[0-7]{3}", file.listen.mode):
+        reading.fault(("listen", "mode"), f'"{file.listen.mode}" is no mode', 'write mode = "0660"')
+    elif int(file.listen.mode, 8) & 0o600 != 0o600:
+        reading.fault(("listen", "mode"), "its owner may not use it", 'write mode = "0660"')
+
+
+def asked_for(reading: Reading, file: File) -> None:
+    if file.listen.outside_loopback not in ("", ASKED_FOR):
+        reading.fault(
+            ("listen", "outside_loopback"), "other words than asked for",
+            f'write outside_loopback = "{ASKED_FOR}", or leave it out',
+        )
+
+
+def fits(reading: Reading, file: File, n: int) -> None:
+    """Danger: the last connects would come after the answer that the client was promised."""
+    kind, total = file.service_type[n], file.connects.most * file.connects.up_within
+    if total > kind.connect_timeout:
+        reading.fault(
+            ("service_type", n, "connect_timeout"),
+            f"{file.connects.most} connects of {duration(file.connects.up_within)} do not fit in "
+            f"{duration(kind.connect_timeout)}",
+            f"write {duration(total)} or more, or fewer connects",
+        )
+
+
+def some_type(reading: Reading, file: File) -> None:
+    if not file.service_type:
+        reading.fault(("service_type",), "need one at least", "write [[service_type]] with a name")
+
+
+def named(reading: Reading, file: File, n: int) -> None:
+    name = file.service_type[n].name
+    if not WORD.fullmatch(name):
+        reading.fault(
+            ("service_type", n, "name"), f'"{name}" cannot stand in OPEN',
+            "write printable letters, no space or comma",
+        )
+    if any(each.name == name for each in file.service_type[:n]):
+        reading.fault(
+            ("service_type", n, "name"), f'"{name}" stands twice', "give each service type its own name"
+        )
+
+
+def setup(reading: Reading, file: File, n: int) -> None:
+    kind = file.service_type[n]
+    if kind.setup_target > kind.connect_timeout:
+        reading.fault(
+            ("service_type", n, "setup_target"),
+            f"{duration(kind.setup_target)} is over the connect timeout {duration(kind.connect_timeout)}",
+            f"write {duration(kind.connect_timeout)} or less",
+        )
+
+
+def group(reading: Reading, file: File, n: int) -> None:
+    only_referenced(reading, file, n, "group", 'write group = "all", "zone" or "cell"')
+
+
+def window(reading: Reading, file: File, n: int) -> None:
+    only_referenced(reading, file, n, "window", 'write window = "5s"')
+
+
+def only_referenced(reading: Reading, file: File, n: int, key: str, instead: str) -> None:
+    """Group and window belong to referenced flows, and to no others.
+
+    Danger: without them nobody knows where, and for how long, a repeat is dropped: it would run twice.
+    """
+    kind = file.service_type[n]
+    value = getattr(kind, key)
+    if kind.effect == "referenced" and value is None:
+        reading.fault(("service_type", n, key), f"missing: referenced without {key}", instead)
+    elif kind.effect != "referenced" and value is not None:
+        what = "never repeated" if kind.effect == "once-only" else "repeated anywhere"
+        reading.fault(
+            ("service_type", n, key), f"{kind.effect} flows are {what}",
+            f'leave {key} out, or write effect = "referenced"',
+        )
+
+
+def descriptors(reading: Reading, file: File, servers: int, machine: Machine) -> None:
+    """Descriptors for the connections that the file states."""
+    limits = file.limits
+    need = descriptors_for(limits.connections, servers if file.probes else 0)
+    if limits.descriptors < need:
+        # Danger: flows would be rejected for want of descriptors while the application keeps to its word.
+        reading.fault(
+            ("limits", "descriptors"),
+            f"{limits.descriptors} are too few for {limits.connections} connections and {servers} servers",
+            f"write {need} or more, or fewer connections",
+        )
+    if machine.descriptors and limits.descriptors > machine.descriptors:
+        reading.fault(
+            ("limits", "descriptors"),
+            f"{limits.descriptors} are more than the {machine.descriptors} that this user may hold here",
+            f"write {machine.descriptors} or less, or raise the limit (ulimit -Hn)",
+        )
+
+
+def memory(reading: Reading, file: File, servers: int, machine: Machine) -> None:
+    """Memory for the connections that the file states."""
+    limits = file.limits
+    bytes_needed = memory_for(limits.connections, servers)
+    if limits.memory < bytes_needed:
+        reading.fault(
+            ("limits", "memory"),
+            f"{size_text(limits.memory)} is too little for {limits.connections} connections and {servers} "
+            "servers",
+            f'write "{size_text(bytes_needed)}" or more, or fewer connections',
+        )
+    if machine.memory and limits.memory > machine.memory:
+        reading.fault(
+            ("limits", "memory"),
+            f"{size_text(limits.memory)} is more than the {size_text(machine.memory)} of this machine",
+            f'write "{size_text(machine.memory)}" or less',
+        )
+
+
+def descriptors_for(connections: int, probed: int) -> int:
+    """The fewest descriptors for so many standing connections, and servers that are probed."""
+    return ceil((2 * connections + probed + BY_THE_PROGRAM) / (1 - KEPT)) + 1
+
+
+def connections_for(descriptors: int, memory: int, servers: int) -> int:
+    """The most standing connections that these bear; 1 at least, which `check` then refuses if it is too many."""
+    by_descriptors = (int((descriptors - 1) * (1 - KEPT)) - servers - BY_THE_PROGRAM) // 2
+    by_memory = (int(memory * (1 - KEPT)) - BASE_MEMORY - servers * MEMORY_A_SERVER) // MEMORY_EACH
+    return max(1, min(by_descriptors, by_memory))
+
+
+def memory_for(connections: int, servers: int) -> int:
+    """The least memory for them in bytes, a whole number of MiB."""
+    held = BASE_MEMORY + connections * MEMORY_EACH + servers * MEMORY_A_SERVER
+    return ceil(held / (1 - KEPT) / 1024**2) * 1024**2
+
+
+def cold(reading: Reading, file: File) -> None:
+    if file.cold.falls_within > file.cold.warm_within:
+        reading.fault(
+            ("cold", "falls_within"),
+            f"{duration(file.cold.falls_within)} is over the warm-up of {duration(file.cold.warm_within)}",
+            f"write {duration(file.cold.warm_within)} or less",
+        )
+
+
+def not_itself(reading: Reading, file: File, n: int, server: Server) -> None:
+    """Danger: a flow placed on the sidecar itself comes in again, and again, until descriptors run out."""
+    where = addresses.read(file.listen.address) if file.listen.address else None
+    there = addresses.read(server.address)
+    if where and there and addresses.meets(where, there):
+        reading.fault(
+            ("server", n, "address") if file.server else ("servers", "file"),
+            f'"{server.address}" of {server.name} is this sidecar\'s own listener',
+            "write the server's address there, or listen elsewhere",
+        )
--- /dev/null
+++ b/brambleplank/sidecar/run.py
@@ -0,0 +1,296 @@
+"""The sidecar: one proxy beside one application, from its file to its exit code."""
+
+from __future__ import annotations
+
+import os
+import resource
+import secrets
+import signal
+import socket
+import sys
+from collections.abc import Callable
+from contextlib import suppress
+from typing import Any
+
+from twisted.internet import error, threads
+from twisted.internet.protocol import ProcessProtocol
+from twisted.python.failure import Failure
+
+from brambleplank import addresses
+from brambleplank.fronts.line.clients import Clients
+from brambleplank.fronts.line.ping import Ping
+from brambleplank.net.buffers import BACKLOG, Listener
+from brambleplank.net.clock import Clock
+from brambleplank.net.faults import watch
+from brambleplank.net.log import Log, plainly
+from brambleplank.net.loop import reactor
+from brambleplank.net.proxy import Proxy
+from brambleplank.net.unix import Claim, InUseError, listener
+from brambleplank.sidecar import against
+from brambleplank.sidecar.reader import Told, read
+from brambleplank.sources.file import entries
+from brambleplank.sources.file.source import FileSource
+
+WEIGH = 0.5  # seconds between two looks at the memory held
+READY_LOOK = 0.02  # seconds between two looks whether it takes flows
+APPLICATION_LEAVES = 10.0  # seconds that the application has after SIGTERM before it is killed
+FOUND_OUT = 0.5  # seconds after the application's end in which its connections end as well
+
+
+class Application(ProcessProtocol):
+    """The application, where the sidecar starts it."""
+
+    transport: Any
+
+    def __init__(self, ended: Callable[[int], None]) -> None:
+        self.ended = ended
+
+    def processEnded(self, reason: Any) -> None:  # noqa: N802
+        code, by = reason.value.exitCode, reason.value.signal
+        self.ended(code if code is not None else 128 + (by or 0))
+
+
+class Sidecar:
+    """A proxy, its list, its listener, its application; and the order in which they come and go."""
+
+    def __init__(self, told: Told, command: list[str]) -> None:
+        assert told.file and told.terms
+        self.told, self.file, self.command = told, told.file, command
+        clock = Clock()
+        form = as_json() if self.file.log.form == "json" else plainly
+        self.proxy = Proxy(
+            clock, Log(clock.now, form), told.terms, secrets.randbits(64), self.file.limits.descriptors, Ping
+        )
+        self.proxy.emptied = self.emptied
+        self.claim: Claim | None = None
+        self.port: Any = None
+        self.application: Application | None = None
+        self.is_ready = self.leaving = self.rereading = False
+        self.code = 0
+        self.source = self.proxy.source = self.new_source()
+
+    def new_source(self) -> FileSource | Listed:
+        path = self.told.servers_path()
+        if path is None:
+            return Listed(self.proxy, self.told.servers)
+        return FileSource(self.proxy, path, self.told.servers)
+
+    def listen(self) -> None:
+        """Raises InUseError, or Twisted's CannotListenError."""
+        clients: Any = Clients(self.proxy)
+        where = self.file.listen
+        if where.socket is not None:
+            self.claim = Claim(where.socket)
+            self.port = listener(self.claim, clients, BACKLOG, int(where.mode, 8), reactor)
+        else:
+            host, port = addresses.read(where.address or "") or ("", 0)
+            self.port = Listener(port, clients, BACKLOG, host, reactor)
+        self.proxy.door.listeners.append(self.port)
+        self.port.startListening()
+
+    def begin(self) -> None:
+        for sign, call in (
+            (signal.SIGTERM, self.stop), (signal.SIGINT, self.stop), (signal.SIGHUP, self.read_again),
+        ):
+            signal.signal(sign, lambda *_, call=call: reactor.callFromThread(call))
+        self.source.begin()
+        self.weigh()
+        self.when_ready()
+
+    def weigh(self) -> None:
+        """How much memory is held. Danger: over its limit it would be killed, and every flow with it."""
+        with suppress(OSError, ValueError, IndexError), open("/proc/self/statm", "rb") as file:
+            held = int(file.read().split()[1]) * resource.getpagesize()
+            self.proxy.door.memory_free = 1 - held / self.file.limits.memory
+        self.proxy.clock.later(WEIGH, self.weigh)
+
+    # Coming.
+
+    def when_ready(self) -> None:
+        if not self.proxy.takes_flows():
+            if not self.leaving:
+                self.proxy.clock.later(READY_LOOK, self.when_ready)
+            return
+        self.is_ready = True
+        where = self.file.listen.socket or self.file.listen.address
+        self.proxy.log(f"ready: {self.file.application} connects at {where}")
+        if self.file.ready.file:
+            try:
+                with open(self.file.ready.file, "w", encoding="ascii") as file:
+                    file.write(f"{os.getpid()}\n")
+            except OSError as problem:
+                self.proxy.log(f"ready: {self.file.ready.file}: {problem.strerror}")
+        notify("READY=1")
+        if self.command:
+            self.start_application()
+
+    def start_application(self) -> None:
+        """Danger: started before, its first flows would find nobody."""
+        self.application = Application(self.application_ended)
+        reactor.spawnProcess(
+            self.application, self.command[0], self.command, env=dict(os.environ),
+            childFDs={0: 0, 1: 1, 2: 2},
+        )
+
+    # Going.
+
+    def stop(self) -> None:
+        """SIGTERM: the proxy empties, then the application is told to go, then this ends."""
+        if self.leaving:
+            return
+        self.leaving = True
+        self.unready()
+        self.proxy.stop()
+
+    def unready(self) -> None:
+        notify("STOPPING=1")
+        if self.is_ready and self.file.ready.file:
+            with suppress(OSError):
+                os.unlink(self.file.ready.file)
+
+    def emptied(self) -> None:
+        if self.application is None:
+            self.end()
+            return
+        self.proxy.log("stop: application told to leave")
+        with suppress(error.ProcessExitedAlready):
+            self.application.transport.signalProcess("TERM")
+        self.proxy.clock.later(APPLICATION_LEAVES, self.application_late)
+
+    def application_late(self) -> None:
+        """Danger: one that ignores SIGTERM would keep this, and whoever waits for it, for ever."""
+        if self.application is not None:
+            with suppress(error.ProcessExitedAlready):
+                self.application.transport.signalProcess("KILL")
+
+    def application_ended(self, code: int) -> None:
+        """Gone before its sidecar, or as told: its connections end by themselves, then this ends."""
+        self.application, self.code = None, code
+        self.proxy.log(f"application ended with {code}")
+        if self.leaving:
+            if not self.proxy.clients:
+                self.end()
+            return
+        self.proxy.clock.later(FOUND_OUT, self.stop)
+
+    def end(self) -> None:
+        self.source.stop()
+        if reactor.running:
+            reactor.stop()
+
+    # Changing.
+
+    def read_again(self) -> None:
+        """SIGHUP: what can change while flows stand is taken up; what stands is not touched.
+
+        Danger: a torn or wrong file must cost nothing; the values held stay good. It is read in a thread, as
+        a file of thousands of servers takes long enough to be felt.
+        """
+        if self.rereading:
+            return
+        self.rereading = True
+        found: Any = threads.deferToThreadPool(reactor, reactor.getThreadPool(), read, self.told.path)
+        found.addCallbacks(self.take_up, self.unread)
+
+    def unread(self, why: Failure) -> None:
+        self.rereading = False
+        self.proxy.log(f"reload: kept as it was: {type(why.value).__name__}")
+
+    def take_up(self, told: Told) -> None:
+        self.rereading = False
+        if told.faults or told.file is None:
+            more = f" (and {len(told.faults) - 1} more)" if len(told.faults) > 1 else ""
+            self.proxy.log(f"reload: kept as it was: {told.lines()[0]}{more}")
+            return
+        changes = against.compare(self.told, told)
+        live = [each.key for each in changes if each.live]
+        waits = [each.key for each in changes if not each.live]
+        self.proxy.log(
+            f"reload: taken up: {', '.join(live) or 'nothing'}"
+            + (f"; wait for a restart: {', '.join(waits)}" if waits else "")
+        )
+        before, self.told = self.told.servers_path(), told
+        self.file.limits = told.file.limits
+        self.proxy.door.descriptors = told.file.limits.descriptors
+        allow(told.file.limits.descriptors)
+        if told.servers_path() != before:
+            self.source.stop()
+            self.source = self.proxy.source = self.new_source()
+            self.source.begin()
+            self.source.follow()
+        elif isinstance(self.source, Listed):
+            self.source.tell(told.servers)
+
+
+class Listed:
+    """The servers that the sidecar's own file lists: they change on SIGHUP alone."""
+
+    def __init__(self, proxy: Proxy, servers: list[entries.Server]) -> None:
+        self.proxy, self.servers = proxy, servers
+
+    def follow(self) -> None:
+        """There is nothing to follow."""
+
+    def stop(self) -> None:
+        """Nothing is followed."""
+
+    def begin(self) -> None:
+        self.proxy.list_told(*entries.told(self.servers), True)
+
+    def tell(self, servers: list[entries.Server]) -> None:
+        if servers != self.servers:
+            self.servers = servers
+            self.begin()
+
+
+def as_json() -> Callable[[float, str, dict[str, Any]], str]:
+    """Log lines as JSON objects, one a line."""
+    from structlog.processors import JSONRenderer
+
+    render = JSONRenderer()
+
+    def form(now: float, text: str, fields: dict[str, Any]) -> str:
+        return str(render(None, "", {"time": round(now, 3), "event": text, **fields}))
+
+    return form
+
+
+def notify(state: str) -> None:
+    """Tells the service manager that started this, where one did (the datagram of sd_notify(3))."""
+    path = os.environ.get("NOTIFY_SOCKET")
+    if path and path[0] in "/@":
+        with suppress(OSError), socket.socket(socket.AF_UNIX, socket.SOCK_DGRAM | socket.SOCK_CLOEXEC) as out:
+            out.setblocking(False)
+            out.sendto(state.encode(), "\0" + path[1:] if path[0] == "@" else path)
+
+
+def allow(descriptors: int) -> None:
+    """Raises this process's own soft limit as far as its file says; the hard limit was checked."""
+    soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
+    if soft < descriptors:
+        with suppress(ValueError, OSError):
+            resource.setrlimit(resource.RLIMIT_NOFILE, (descriptors, hard))
+
+
+def main(path: str, command: list[str]) -> int:
+    """Runs until told to leave, or until the application has left; its exit code. 2: nothing was started."""
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)  # Danger: one that comes before all is set up would end it.
+    told = read(path)
+    if told.faults:
+        print("\n".join(told.lines()), file=sys.stderr)
+        return 2
+    allow(told.file.limits.descriptors if told.file else 0)
+    sidecar = Sidecar(told, command)
+    try:
+        sidecar.listen()
+    except InUseError as taken:
+        print(f"{path}: listen.socket: {taken}", file=sys.stderr)
+        return 2
+    except error.CannotListenError as cannot:
+        place = sidecar.file.listen.address or sidecar.file.listen.socket
+        print(f"{path}: listen: {place}: {cannot.socketError}", file=sys.stderr)
+        return 2
+    watch(sidecar.proxy)
+    reactor.callWhenRunning(sidecar.begin)
+    reactor.run()  # its own signal handlers are wanted for the application's end; `begin` takes the others
+    return sidecar.code
--- /dev/null
+++ b/brambleplank/sidecar/schema.py
@@ -0,0 +1,56 @@
+"""The JSON schema of a sidecar's file, for editors."""
+
+from __future__ import annotations
+
+import json
+from typing import Any, get_args, get_type_hints
+
+import msgspec
+
+from brambleplank.sidecar.shapes import File
+from brambleplank.tables import Seconds, Size, bare, duration, is_shape, size_text
+
+UNITS = {
+    Seconds: {"type": "string", "pattern": r"^[0-9]+(\.[0-9]+)?(us|ms|s|min|h)$"},
+    Size: {"type": "string", "pattern": r"^[0-9]+(B|KiB|MiB|GiB)$"},
+}
+
+
+def schema() -> str:
+    """The schema as JSON text. Its keys, descriptions and defaults are those of `shapes.py`."""
+    shapes, parts = msgspec.json.schema_components([File], schema_hook=UNITS.__getitem__)
+    found: dict[str, Any] = {
+        "$schema": "https://json-schema.org/draft/2020-12/schema", "title": "brambleplank sidecar",
+        **shapes[0],
+        "$defs": {name.rpartition(".")[2]: plainly(part) for name, part in parts.items()},
+    }
+    for shape in inner_shapes(File):
+        properties = found["$defs"][shape.__name__]["properties"]
+        for field in msgspec.structs.fields(shape):
+            default = None if field.default_factory is msgspec.NODEFAULT else field.default_factory()
+            if isinstance(default, Seconds | Size):
+                properties[field.name]["default"] = plainly(default)
+    return json.dumps(plainly(found), indent=2) + "\n"
+
+
+def inner_shapes(shape: type[msgspec.Struct]) -> set[type[msgspec.Struct]]:
+    """The shape and all that its keys hold."""
+    found = {shape}
+    for hint in get_type_hints(shape, include_extras=True).values():
+        for kind in (bare(hint), *get_args(bare(hint))):
+            if is_shape(kind):
+                found |= inner_shapes(kind)
+    return found
+
+
+def plainly(value: Any) -> Any:
+    """Defaults as a file writes them, and short names."""
+    if isinstance(value, dict):
+        return {key: plainly(inner) for key, inner in value.items()}
+    if isinstance(value, list):
+        return [plainly(inner) for inner in value]
+    if isinstance(value, Seconds):
+        return duration(value)
+    if isinstance(value, Size):
+        return size_text(value)
+    return value
--- /dev/null
+++ b/brambleplank/sidecar/shapes.py
@@ -0,0 +1,217 @@
+"""The shape of a sidecar's file: every key with its unit, its range, its default and what it does.
+
+Times are "300ms" or "3s", sizes "64MiB". The ranges are those in which the rules can be kept; `rules.py`
+holds what concerns several keys at once.
+"""
+
+from __future__ import annotations
+
+from typing import Annotated, Any, Literal
+
+import msgspec
+from msgspec import Meta
+
+from brambleplank.sources.file.entries import End, Server
+from brambleplank.tables import Seconds, Size
+
+ASKED_FOR = "any machine may connect"  # in words, as nobody writes it by accident
+
+
+def of(does: str, example: str, rule: str = "", least: float = 0.0, most: float = 0.0) -> Meta:
+    """The notes of one key; a range where `most` is given."""
+    more: dict[str, Any] = {"rule": rule}
+    if most:
+        more["range"] = (least, most)
+    return Meta(description=does, examples=[example], extra=more)
+
+
+def usually(value: Any) -> Any:
+    """A default in a kind of our own, which the JSON schema cannot write by itself."""
+    return msgspec.field(default_factory=lambda: value)
+
+
+class Listen(msgspec.Struct, forbid_unknown_fields=True):
+    """Where the application connects: an address or a Unix socket."""
+
+    address: Annotated[str | None, of("address on loopback", '"127.0.0.1:7400"')] = None
+    socket: Annotated[str | None, of(
+        "path of a Unix socket", '"/run/maps/brambleplank.sock"',
+    )] = None
+    mode: Annotated[str, of("rights of the Unix socket, in octal", '"0660"')] = "0660"
+    outside_loopback: Annotated[str, of(
+        "lets `address` lie outside loopback, if asked for in these words", f'"{ASKED_FOR}"',
+    )] = ""
+
+
+class Limits(msgspec.Struct, forbid_unknown_fields=True):
+    """What the sidecar may hold."""
+
+    connections: Annotated[int, of(
+        "standing connections that the application keeps at most", "200", "no flow lost", 1, 100_000,
+    )] = 200
+    descriptors: Annotated[int, of(
+        "file descriptors it may hold; near the end flows are rejected at once", "1024", "no flow lost",
+        64, 1_048_576,
+    )] = 1024
+    memory: Annotated[Size, of(
+        "memory it may hold; near the end flows are rejected at once", '"128MiB"', "no flow lost",
+        64 * 1024**2, 64 * 1024**3,
+    )] = usually(Size(128 * 1024**2))
+
+
+class Connects(msgspec.Struct, forbid_unknown_fields=True):
+    """How a flow is connected."""
+
+    most: Annotated[int, of(
+        "connects a flow may have, the first included", "3", "no effect twice", 1, 4,
+    )] = 3
+    up_within: Annotated[Seconds, of(
+        "a connection that is not up by then never comes up", '"150ms"', "no flow lost", 0.001, 10,
+    )] = usually(Seconds(0.15))
+    withdraw: Annotated[bool, of(
+        "whether a connect that takes too long may be called off", "true", "no flow lost",
+    )] = True
+    come_back_within: Annotated[Seconds, of(
+        'longest pause told with a reject; "0s": no advice', '"2s"', "given up on, answered at once", 0, 600,
+    )] = usually(Seconds(2.0))
+
+
+class Drain(msgspec.Struct, forbid_unknown_fields=True):
+    """What a server that drains may still get."""
+
+    window: Annotated[Seconds, of(
+        "nothing new reaches a server later than this after the list told that it drains", '"1s"',
+        "drains kept", 0.1, 3,
+    )] = usually(Seconds(1.0))
+
+
+class Cold(msgspec.Struct, forbid_unknown_fields=True):
+    """Servers that have just started."""
+
+    able: Annotated[float, of(
+        "share of its usual work that a server can do as it starts", "0.2",
+        "a cold server is not pushed over", 0.01, 1,
+    )] = 0.2
+    warm_within: Annotated[Seconds, of(
+        "time from its start to its usual work", '"20s"', "a cold server is not pushed over", 0.1, 3600,
+    )] = usually(Seconds(20.0))
+    falls_over_at: Annotated[float, of(
+        "times what it can do at which a server is pushed over", "3.0", "a cold server is not pushed over",
+        1, 100,
+    )] = 3.0
+    falls_within: Annotated[Seconds, of(
+        "time over which that is counted", '"2s"', "a cold server is not pushed over", 0.01, 600,
+    )] = usually(Seconds(2.0))
+
+
+class ServiceType(msgspec.Struct, forbid_unknown_fields=True):
+    """One service type of the application."""
+
+    name: Annotated[str, of("as OPEN names it, c=NAME", '"warnings"')]
+    effect: Annotated[Literal["repeatable", "referenced", "once-only"], of(
+        "what happens when a flow runs twice", '"repeatable"', "no effect twice",
+    )]
+    setup_target: Annotated[Seconds, of("how soon a flow should stand", '"300ms"', "", 0.001, 60)]
+    connect_timeout: Annotated[Seconds, of(
+        "the longest that a client waits for its answer", '"1800ms"', "no flow lost", 0.01, 60,
+    )]
+    message_target: Annotated[Seconds | None, of(
+        "how soon a line should come back; as the setup target if left out", '"100ms"', "", 0.001, 60,
+    )] = None
+    group: Annotated[Literal["all", "zone", "cell"] | None, of(
+        "referenced: the servers that drop repeats of a flow", '"zone"', "no effect twice",
+    )] = None
+    window: Annotated[Seconds | None, of(
+        "referenced: for how long they do", '"5s"', "no effect twice", 0.001, 86400,
+    )] = None
+
+
+class Servers(msgspec.Struct, forbid_unknown_fields=True):
+    """Where the list of servers comes from, unless this file lists them itself."""
+
+    file: Annotated[str, of("a file of [[server]] tables, looked at again and again", '"maps.servers.toml"')]
+
+
+class Log(msgspec.Struct, forbid_unknown_fields=True):
+    """What it writes to standard error."""
+
+    form: Annotated[Literal["lines", "json"], of(
+        "lines for people, or one JSON object a line", '"lines"',
+    )] = "lines"
+
+
+class Ready(msgspec.Struct, forbid_unknown_fields=True):
+    """How it says that it takes flows, for the application's start order."""
+
+    file: Annotated[str | None, of("a file that exists while it takes flows", '"/run/maps/ready"')] = None
+
+
+class File(msgspec.Struct, forbid_unknown_fields=True):
+    """A sidecar's file."""
+
+    application: Annotated[str, of("the application it stands beside", '"maps"')]
+    listen: Listen
+    service_type: Annotated[list[ServiceType], of("one table a service type", "[[service_type]]")]
+    zone: Annotated[str, of("its own zone: probes keep to servers there", '"a"')] = ""
+    customers: Annotated[list[str], of(
+        "customers that OPEN may name, t=NAME; empty: any", '["acme"]',
+    )] = msgspec.field(default_factory=list)
+    groups: Annotated[bool, of("whether flows of one g= share work, and go together", "true")] = False
+    probes: Annotated[bool, of(
+        "whether servers answer PING, so that slow ones are seen early", "true",
+    )] = False
+    limits: Limits = msgspec.field(default_factory=Limits)
+    connects: Connects = msgspec.field(default_factory=Connects)
+    drain: Drain = msgspec.field(default_factory=Drain)
+    cold: Cold = msgspec.field(default_factory=Cold)
+    servers: Servers | None = None
+    server: list[Server] = msgspec.field(default_factory=list)
+    log: Log = msgspec.field(default_factory=Log)
+    ready: Ready = msgspec.field(default_factory=Ready)
+    end: End | None = None
+
+
+EFFECT_WORDS = {"repeatable": "repeatable", "referenced": "by_key", "once-only": "once"}
+MICRO = 1_000_000
+TICK = 0.005  # seconds; decisions leave two of them as a margin ahead of each limit
+ASK_WITHIN = 10.0  # seconds; a list in a file on this machine fails seldom, and is asked for soon again
+
+
+def settings_of(file: File) -> dict[str, Any]:
+    """The same in the words of the platform's settings, whose one decoder fills the terms of both."""
+    kinds = []
+    for kind in file.service_type:
+        item: dict[str, Any] = {
+            "name": kind.name, "effect": EFFECT_WORDS[kind.effect],
+            "setup_target_us": round(kind.setup_target * MICRO),
+            "deadline_us": round(kind.connect_timeout * MICRO),
+        }
+        if kind.group is not None:
+            item["group"] = kind.group
+        if kind.window is not None:
+            item["window_us"] = round(kind.window * MICRO)
+        kinds.append(item)
+    return {
+        "balancers": 1, "slot_no": 0, "tick_us": round(TICK * MICRO), "discovery": "pull", "az": file.zone,
+        "policy_limits": {
+            "max_connects": file.connects.most, "cancelling": file.connects.withdraw,
+            "retry_after": file.connects.come_back_within > 0,
+            "max_retry_after_us": round(file.connects.come_back_within * MICRO),
+            "connect_timeout_us": round(file.connects.up_within * MICRO),
+            "may_probe": file.probes, "peers": False,
+        },
+        "rules": {
+            "stop_sending_within_us": round(file.drain.window * MICRO),
+            "ask_within_us": round(ASK_WITHIN * MICRO), "cold_from": file.cold.able,
+            "ramp_time_us": round(file.cold.warm_within * MICRO),
+            "overload_factor": file.cold.falls_over_at, "fall_us": round(file.cold.falls_within * MICRO),
+        },
+        "service_types": kinds,
+        "tenants": [{"name": name} for name in file.customers],
+        "specifics": {
+            "groups": file.groups, "tells_load": False,
+            "message_aim_us": [
+                round((kind.message_target or kind.setup_target) * MICRO) for kind in file.service_type
+            ],
+        },
+    }
--- /dev/null
+++ b/brambleplank/sources/file/__init__.py
@@ -0,0 +1,1 @@
+"""A list of servers in a file on this machine, looked at again and again."""
