Consul as a source: its words weighed before the list, against a stand-in agent

Need: other installations keep servers in Consul, whose health flaps, lags, and can be wrong of many at once. Change: sources/consul holds the decisions (health.py, free of I/O), answers, and the blocking queries over several agents; emulator/consul.py is a stand-in agent with scripted faults; the sidecar's file, check and schema know [consul]; `brambleplank watch` prints each change, its cause and delay. Drains are never damped; critical has to last; too many ill at once keep the last good set; old answers only add drains. Found by a story: after a restart with a lower index, a query at the old one waited out its 30 s; now the query after any failure does not wait.

--- a/brambleplank/command/__init__.py
+++ b/brambleplank/command/__init__.py
@@ -6,7 +6,7 @@
 
 import click
 
-VERBS = ("new", "check", "explain", "run", "convert", "schema", "try")
+VERBS = ("new", "check", "explain", "run", "convert", "schema", "watch", "try")
 
 
 class Verbs(click.Group):
--- /dev/null
+++ b/brambleplank/command/watch_.py
@@ -0,0 +1,17 @@
+"""`brambleplank watch`."""
+
+from __future__ import annotations
+
+import sys
+
+import click
+
+
+@click.command("watch")
+@click.argument("file", type=click.Path())
+@click.option("--seconds", type=click.FloatRange(0), default=0.0, help="For how long; 0: until interrupted.")
+def command(file: str, seconds: float) -> None:
+    """Follow the servers of FILE, and print each change, what was made of it and why, and its delay."""
+    from brambleplank.sidecar.watch import main
+
+    sys.exit(main(file, seconds))
--- /dev/null
+++ b/brambleplank/emulator/consul.py
@@ -0,0 +1,219 @@
+"""A stand-in Consul agent on loopback: health of services by blocking queries, and scripted faults.
+
+Written from the published HTTP API: `X-Consul-Index`, `index` and `wait`, `X-Consul-KnownLeader`,
+`X-Consul-LastContact`, tokens, 403, 429 and 500. It is slow, torn, behind or gone when its script says so.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import tomllib
+from dataclasses import dataclass, field
+from typing import Any
+from urllib.parse import parse_qs, unquote, urlsplit
+
+from brambleplank.tables import seconds
+
+LONGEST_WAIT = 600.0
+LARGEST_HEAD = 16 * 1024
+
+
+@dataclass
+class Member:
+    """One server as the catalogue has it."""
+
+    id: str
+    address: str
+    zone: str = ""
+    status: str = "passing"
+    maintenance: bool = False
+    meta: dict[str, str] = field(default_factory=dict)
+    weights: dict[str, int] | None = None
+
+    def item(self) -> dict[str, Any]:
+        host, _, port = self.address.rpartition(":")
+        checks = [
+            {"CheckID": "serfHealth", "Status": "passing"},
+            {"CheckID": f"service:{self.id}", "Status": self.status},
+        ]
+        if self.maintenance:
+            checks.append({"CheckID": f"_service_maintenance:{self.id}", "Status": "critical"})
+        meta = {**({"zone": self.zone} if self.zone else {}), **self.meta}
+        service: dict[str, Any] = {"ID": self.id, "Address": host, "Port": int(port), "Meta": meta}
+        if self.weights:
+            service["Weights"] = self.weights
+        return {"Node": {"Node": "n1", "Address": "127.0.0.1"}, "Service": service, "Checks": checks}
+
+
+class StandInConsul:
+    """One agent; its catalogue may be shared with others, which may lag behind it."""
+
+    def __init__(self) -> None:
+        self.services: dict[str, dict[str, Member]] = {}
+        self.index = 1
+        self.changed_at: dict[str, int] = {}
+        self.leader, self.contact_ms = True, 0
+        self.token = ""  # the one that it takes; "": any
+        self.statuses: list[int] = []  # what the next answers are instead
+        self.torn = 0  # so many next answers end in the middle
+        self.slow = 0.0  # seconds before each answer
+        self.answers = 0
+        self.port = 0
+        self.listener: asyncio.Server | None = None
+        self.open: set[asyncio.StreamWriter] = set()
+        self.turned = asyncio.Event()
+
+    @property
+    def address(self) -> str:
+        return f"127.0.0.1:{self.port}"
+
+    async def listen(self) -> None:
+        self.listener = await asyncio.start_server(self.serve, "127.0.0.1", self.port)
+        self.port = self.listener.sockets[0].getsockname()[1]
+
+    def stop(self) -> None:
+        """The agent goes: whoever waits loses its connection."""
+        if self.listener:
+            self.listener.close()
+            self.listener = None
+        for writer in list(self.open):
+            writer.transport.abort()
+
+    def change(self, service: str, member: Member | None = None, drop: str = "") -> None:
+        """A member is put in, or dropped; whoever waits on the service is answered."""
+        members = self.services.setdefault(service, {})
+        if member:
+            members[member.id] = member
+        members.pop(drop, None)
+        self.touch(service)
+
+    def touch(self, service: str) -> None:
+        self.index += 1
+        self.changed_at[service] = self.index
+        turned, self.turned = self.turned, asyncio.Event()
+        turned.set()
+
+    def go_back(self, index: int) -> None:
+        """As a restored or restarted one does: it counts from a lower index."""
+        self.index = index
+        self.changed_at = dict.fromkeys(self.services, index)
+
+    async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.open.add(writer)
+        try:
+            while True:
+                head = await reader.readuntil(b"\r\n\r\n")
+                await self.answer(head.decode("latin-1"), writer)
+        except (OSError, asyncio.IncompleteReadError, asyncio.LimitOverrunError):
+            pass
+        finally:
+            self.open.discard(writer)
+            writer.close()
+
+    async def answer(self, head: str, writer: asyncio.StreamWriter) -> None:
+        first, *lines = head.split("\r\n")
+        headers = {name.lower(): value.strip() for name, _, value in (line.partition(":") for line in lines)}
+        target = urlsplit(first.split(" ")[1])
+        asked = {key: value[0] for key, value in parse_qs(target.query, keep_blank_values=True).items()}
+        service = unquote(target.path.rsplit("/", 1)[-1])
+        if self.slow:
+            await asyncio.sleep(self.slow)
+        status = self.statuses.pop(0) if self.statuses else 200
+        if self.token and headers.get("x-consul-token") != self.token:
+            status = 403
+        if status == 200 and "index" in asked:
+            wait = min(LONGEST_WAIT, seconds(asked.get("wait", "300s")) or 300.0)
+            until = asyncio.get_running_loop().time() + wait
+            while self.changed_at.get(service, 1) <= int(asked["index"]):
+                left = until - asyncio.get_running_loop().time()
+                if left <= 0:
+                    break
+                try:
+                    await asyncio.wait_for(self.turned.wait(), left)
+                except asyncio.TimeoutError:  # noqa: UP041
+                    break
+        items = [member.item() for member in self.services.get(service, {}).values()]
+        body = json.dumps(items).encode() if status == 200 else b"no\n"
+        said = (
+            f"HTTP/1.1 {status} -\r\nContent-Type: application/json\r\nContent-Length: {len(body)}\r\n"
+            f"X-Consul-Index: {self.changed_at.get(service, 1)}\r\n"
+            f"X-Consul-KnownLeader: {'true' if self.leader else 'false'}\r\n"
+            f"X-Consul-LastContact: {self.contact_ms}\r\n\r\n"
+        )
+        self.answers += 1
+        writer.write(said.encode())
+        if self.torn and status == 200:
+            self.torn -= 1
+            writer.write(body[: len(body) // 2])
+            await writer.drain()
+            writer.transport.abort()
+            return
+        writer.write(body)
+        await writer.drain()
+
+
+# Scripts: what is done to an agent, and when. A file of them can be played by whoever rehearses.
+
+DOINGS = ("register", "deregister", "passing", "warning", "critical", "maintain", "lift", "stop", "start",
+          "go_back", "no_leader", "leader", "statuses", "torn", "slow")
+
+
+@dataclass(frozen=True)
+class Step:
+    """One thing done at one time."""
+
+    at: float
+    do: str
+    service: str = ""
+    server: str = ""
+    more: dict[str, Any] = field(default_factory=dict)
+
+
+def script(text: str) -> list[Step]:
+    """The steps of a TOML file of [[step]] tables, in their order. Raises ValueError, naming the step."""
+    steps = []
+    for n, each in enumerate(tomllib.loads(text).get("step", []), 1):
+        at = seconds(str(each.get("at", "")))
+        if at is None or each.get("do") not in DOINGS:
+            raise ValueError(f"step[{n}]: need at = a time, do = one of {', '.join(DOINGS)}")
+        more = {key: value for key, value in each.items() if key not in ("at", "do", "service", "server")}
+        steps.append(Step(at, each["do"], each.get("service", ""), each.get("server", ""), more))
+    return sorted(steps, key=lambda step: step.at)
+
+
+async def play(agent: StandInConsul, steps: list[Step]) -> None:
+    """Plays a script from now on."""
+    loop = asyncio.get_running_loop()
+    began = loop.time()
+    for step in steps:
+        await asyncio.sleep(max(0.0, began + step.at - loop.time()))
+        await do(agent, step)
+
+
+async def do(agent: StandInConsul, step: Step) -> None:
+    member = agent.services.get(step.service, {}).get(step.server)
+    if step.do == "register":
+        agent.change(step.service, Member(step.server, **step.more))
+    elif step.do == "deregister":
+        agent.change(step.service, drop=step.server)
+    elif step.do in ("passing", "warning", "critical") and member:
+        member.status = step.do
+        agent.touch(step.service)
+    elif step.do in ("maintain", "lift") and member:
+        member.maintenance = step.do == "maintain"
+        agent.touch(step.service)
+    elif step.do == "stop":
+        agent.stop()
+    elif step.do == "start":
+        await agent.listen()
+    elif step.do == "go_back":
+        agent.go_back(int(step.more.get("index", 1)))
+    elif step.do in ("leader", "no_leader"):
+        agent.leader = step.do == "leader"
+    elif step.do == "statuses":
+        agent.statuses = list(step.more.get("list", [500]))
+    elif step.do == "torn":
+        agent.torn = int(step.more.get("count", 1))
+    elif step.do == "slow":
+        agent.slow = seconds(str(step.more.get("by", "0s"))) or 0.0
--- a/brambleplank/sidecar/rules.py
+++ b/brambleplank/sidecar/rules.py
@@ -39,7 +39,8 @@
     judged([
         partial(application, reading, file), partial(listening, reading, file), partial(mode, reading, file),
         partial(asked_for, reading, file), partial(some_type, reading, file), partial(cold, reading, file),
-        partial(whence, reading, file), partial(whole, reading, file),
+        partial(whence, reading, file), partial(agents, reading, file),
+        partial(steadiness, reading, file), partial(whole, reading, file),
         partial(descriptors, reading, file, len(servers), machine),
         partial(memory, reading, file, len(servers), machine),
         *(partial(customer, reading, file, n) for n in counted(file, "customers")),
@@ -75,10 +76,41 @@
     """Servers stand in this file, or in one that it names."""
     if file.server and file.servers:
         reading.fault(("servers", "file"), "servers stand in this file too", "keep [servers] or [[server]]")
-    if not file.server and not file.servers:
+    if file.consul and (file.server or file.servers):
+        reading.fault(("consul",), "servers come from elsewhere too", "keep one of consul, servers, server")
+    if not file.server and not file.servers and not file.consul:
         reading.fault(("servers",), "missing: no servers", 'write [servers] with file = "maps.servers.toml"')
 
 
+def agents(reading: Reading, file: File) -> None:
+    """Consul's agents and services, where it is the source."""
+    if file.consul is None:
+        return
+    seen: set[tuple[str, int] | None] = set()
+    if not file.consul.agents:
+        reading.fault(("consul", "agents"), "need one at least", 'write agents = ["127.0.0.1:8500"]')
+    for n, text in enumerate(file.consul.agents):
+        where = addresses.read(text)
+        if where is None:
+            reading.fault(
+                ("consul", "agents", n), f'"{text}" is no address', 'write one like "127.0.0.1:8500"'
+            )
+        elif where in seen:
+            reading.fault(("consul", "agents", n), f'"{text}" stands twice', "write each agent once")
+        seen.add(where)
+    if not file.consul.services or len(set(file.consul.services)) < len(file.consul.services):
+        reading.fault(("consul", "services"), "need one at least, each once", 'write services = ["feeds"]')
+    if "" in file.consul.services:
+        reading.fault(("consul", "services"), "one has no name", 'write services = ["feeds"]')
+
+
+def steadiness(reading: Reading, file: File) -> None:
+    if file.consul and file.consul.steady > file.consul.steadiest:
+        reading.fault(
+            ("consul", "steady"), f"over steadiest, {duration(file.consul.steadiest)}", "write that or less"
+        )
+
+
 def whole(reading: Reading, file: File) -> None:
     """Danger: half of a file with servers is often well formed, and lists fewer of them."""
     if file.server and file.end is None:
--- a/brambleplank/sidecar/run.py
+++ b/brambleplank/sidecar/run.py
@@ -28,6 +28,10 @@
 from brambleplank.net.unix import Claim, InUseError, listener
 from brambleplank.sidecar import against
 from brambleplank.sidecar.reader import Told, read
+from brambleplank.sidecar.shapes import Consul
+from brambleplank.sources.consul.answers import Keys
+from brambleplank.sources.consul.health import Figures
+from brambleplank.sources.consul.source import Asked, ConsulSource
 from brambleplank.sources.file import entries
 from brambleplank.sources.file.source import FileSource
 
@@ -67,13 +71,7 @@
         self.application: Application | None = None
         self.is_ready = self.leaving = self.rereading = False
         self.code = 0
-        self.source = self.proxy.source = self.new_source()
-
-    def new_source(self) -> FileSource | Listed:
-        path = self.told.servers_path()
-        if path is None:
-            return Listed(self.proxy, self.told.servers)
-        return FileSource(self.proxy, path, self.told.servers)
+        self.source = self.proxy.source = source_of(self.proxy, self.told)
 
     def listen(self) -> None:
         """Raises InUseError, or Twisted's CannotListenError."""
@@ -215,7 +213,7 @@
         allow(told.file.limits.descriptors)
         if told.servers_path() != before:
             self.source.stop()
-            self.source = self.proxy.source = self.new_source()
+            self.source = self.proxy.source = source_of(self.proxy, self.told)
             self.source.begin()
             self.source.follow()
         elif isinstance(self.source, Listed):
@@ -243,6 +241,27 @@
             self.begin()
 
 
+def source_of(proxy: Proxy, told: Told) -> FileSource | ConsulSource | Listed:
+    """Where a file's servers come from."""
+    path = told.servers_path()
+    if path is not None:
+        return FileSource(proxy, path, told.servers)
+    if told.file is not None and told.file.consul is not None:
+        return ConsulSource(proxy, asked_of(told.file.consul))
+    return Listed(proxy, told.servers)
+
+
+def asked_of(consul: Consul) -> Asked:
+    return Asked(
+        [where for where in map(addresses.read, consul.agents) if where], consul.services, consul.datacenter,
+        consul.tag, consul.reads, consul.wait, consul.token_file,
+        Keys(consul.zone_key, consul.cell_key, consul.size_key, consul.started_key, consul.state_key),
+        Figures(
+            consul.settle, consul.steady, consul.steadiest, consul.forget, consul.healthy, consul.stalest
+        ),
+    )
+
+
 def as_json() -> Callable[[float, str, dict[str, Any]], str]:
     """Log lines as JSON objects, one a line."""
     from structlog.processors import JSONRenderer
--- a/brambleplank/sidecar/shapes.py
+++ b/brambleplank/sidecar/shapes.py
@@ -132,6 +132,44 @@
     file: Annotated[str, of("a file of [[server]] tables, looked at again and again", '"maps.servers.toml"')]
 
 
+class Consul(msgspec.Struct, forbid_unknown_fields=True):
+    """Servers from Consul's catalogue and health, instead of a file."""
+
+    agents: Annotated[list[str], of("addresses of agents, asked in this order", '["127.0.0.1:8500"]')]
+    services: Annotated[list[str], of("the services whose servers are used", '["feeds"]')]
+    datacenter: Annotated[str, of("the datacenter asked for; empty: the agent's own", '"edin"')] = ""
+    tag: Annotated[str, of("only servers with this tag", '"live"')] = ""
+    reads: Annotated[Literal["default", "stale", "consistent"], of(
+        "how fresh an answer has to be", '"default"',
+    )] = "default"
+    wait: Annotated[Seconds, of(
+        "how long a query may wait for a change", '"30s"', "", 1, 600,
+    )] = usually(Seconds(30))
+    token_file: Annotated[str, of("a file with the token; read again when refused", '"/run/maps/token"')] = ""
+    zone_key: Annotated[str, of("the key of Meta with a server's zone", '"zone"')] = "zone"
+    cell_key: Annotated[str, of("the key of Meta with its cell", '"cell"')] = "cell"
+    size_key: Annotated[str, of("the key of Meta with its size; weights count beside it", '"size"')] = "size"
+    started_key: Annotated[str, of("the key of Meta with its start, Unix seconds", '"started"')] = "started"
+    state_key: Annotated[str, of('the key of Meta that drains it, as "draining"', '"state"')] = "state"
+    settle: Annotated[Seconds, of(
+        "critical must last so long before nothing new goes there", '"1s"', "", 0, 60,
+    )] = usually(Seconds(1))
+    steady: Annotated[Seconds, of(
+        "passing must last so long after that, doubled at each further flap", '"1s"', "", 0, 60,
+    )] = usually(Seconds(1))
+    steadiest: Annotated[Seconds, of("the longest of these", '"30s"', "", 0, 3600)] = usually(Seconds(30))
+    forget: Annotated[Seconds, of(
+        "a flap is forgotten after so long", '"60s"', "", 1, 86400,
+    )] = usually(Seconds(60))
+    healthy: Annotated[float, of(
+        "share of healthy servers, in a zone and over all, below which the last good set stays in use", "0.5",
+        "", 0, 1,
+    )] = 0.5
+    stalest: Annotated[Seconds, of(
+        "an answer longer without contact to the leader may only add drains", '"5s"', "drains kept", 0, 3600,
+    )] = usually(Seconds(5))
+
+
 class Log(msgspec.Struct, forbid_unknown_fields=True):
     """What it writes to standard error."""
 
@@ -165,6 +203,7 @@
     drain: Drain = msgspec.field(default_factory=Drain)
     cold: Cold = msgspec.field(default_factory=Cold)
     servers: Servers | None = None
+    consul: Consul | None = None
     server: list[Server] = msgspec.field(default_factory=list)
     log: Log = msgspec.field(default_factory=Log)
     ready: Ready = msgspec.field(default_factory=Ready)
--- /dev/null
+++ b/brambleplank/sidecar/watch.py
@@ -0,0 +1,63 @@
+"""Follows a sidecar's source without taking flows; prints each change, what was made of it, and its delay."""
+
+from __future__ import annotations
+
+import sys
+from typing import Any
+
+from brambleplank.host import Address, Entry
+from brambleplank.net.clock import Clock
+from brambleplank.net.loop import reactor
+from brambleplank.sidecar.reader import read
+from brambleplank.sidecar.run import source_of
+
+
+class Follower:
+    """Stands where the proxy stands for a source."""
+
+    def __init__(self, terms: Any) -> None:
+        self.terms = terms
+        self.clock = Clock()
+        self.known: dict[str, tuple[Entry, Address]] = {}
+
+    def log(self, text: str) -> None:
+        print(f"{self.clock.now():.3f} {text}", flush=True)
+
+    def fault(self, error: BaseException, trace: object) -> None:
+        self.log(f"fault {type(error).__name__}: {error}")
+
+    def list_failed(self, why: str) -> None:
+        self.log(f"list: {why}")
+
+    def list_told(self, entries: list[Entry], addresses: dict[str, Address], whole: bool) -> None:
+        named = {entry[0] for entry in entries}
+        for server in [server for server in self.known if whole and server not in named]:
+            del self.known[server]
+            self.log(f"{server} gone")
+        for entry in entries:
+            server, zone, cell, condition, size, _ = entry
+            if self.known.get(server) != (entry, addresses[server]):
+                host, port = addresses[server]
+                where = f"at {host}:{port} zone={zone or '-'} cell={cell} size={size:g}"
+                self.log(f"{server} {condition.value} {where}")
+            self.known[server] = entry, addresses[server]
+
+
+def main(path: str, seconds: float) -> int:
+    """Runs for so long, or until interrupted; 2 if the file has a fault."""
+    told = read(path)
+    if told.faults:
+        print("\n".join(told.lines()), file=sys.stderr)
+        return 2
+    follower: Any = Follower(told.terms)
+    source = source_of(follower, told)
+
+    def begin() -> None:
+        source.begin()
+        source.follow()
+        if seconds:
+            follower.clock.later(seconds, reactor.stop)
+
+    reactor.callWhenRunning(begin)
+    reactor.run()
+    return 0
--- /dev/null
+++ b/brambleplank/sources/consul/answers.py
@@ -0,0 +1,128 @@
+"""Consul's answers on a service, decoded: only what the list needs is read. Free of I/O.
+
+Source: the published HTTP API, `/v1/health/service/:service` and its blocking queries.
+"""
+
+from __future__ import annotations
+
+import re
+from typing import Any
+
+import msgspec
+
+from brambleplank import addresses
+from brambleplank.sources.consul.health import Answer, Instance, Word
+
+NODE_MAINTENANCE, SERVICE_MAINTENANCE = "_node_maintenance", "_service_maintenance:"
+WORD = re.compile(r"[!-~]{1,128}")
+RANK = {"passing": Word.PASSING, "warning": Word.WARNING, "critical": Word.CRITICAL}
+LARGEST = 100.0
+
+
+class Node(msgspec.Struct, rename="pascal"):
+    node: str
+    address: str = ""
+
+
+class Weights(msgspec.Struct, rename="pascal"):
+    passing: int = 1
+    warning: int = 1
+
+
+class Service(msgspec.Struct, rename="pascal"):
+    id: str = msgspec.field(name="ID")
+    address: str = ""
+    port: int = 0
+    meta: dict[str, str] | None = None
+    weights: Weights | None = None
+
+
+class Check(msgspec.Struct, rename="pascal"):
+    status: str
+    check_id: str = msgspec.field(name="CheckID", default="")
+
+
+class Item(msgspec.Struct, rename="pascal"):
+    node: Node
+    service: Service
+    checks: list[Check] = []
+
+
+class Keys(msgspec.Struct, forbid_unknown_fields=True):
+    """The names under which `Meta` holds what the list needs."""
+
+    zone: str = "zone"
+    cell: str = "cell"
+    size: str = "size"
+    started: str = "started"  # Unix seconds
+    state: str = "state"  # "draining" drains, as maintenance does
+
+
+class GarbledError(ValueError):
+    """Not an answer on a service."""
+
+
+DECODER: msgspec.json.Decoder[list[Item]] = msgspec.json.Decoder(list[Item])
+
+
+def instances(body: bytes, keys: Keys) -> tuple[list[Instance], list[str]]:
+    """The servers of an answer, and what could not be used of it in words. Raises GarbledError."""
+    try:
+        items = DECODER.decode(body)
+    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
+        raise GarbledError(str(error)) from None
+    found: dict[str, Instance] = {}
+    unused = []
+    for item in items:
+        name = f"{item.node.node}/{item.service.id}"
+        host, port = item.service.address or item.node.address, item.service.port
+        where = addresses.read(f"[{host}]:{port}" if ":" in host else f"{host}:{port}")
+        if where is None or not WORD.fullmatch(name):
+            unused.append(f"{name!r:.80}: {host}:{port} is no address that can be used")
+            continue
+        meta = item.service.meta or {}
+        word = said(item, meta.get(keys.state, ""))
+        found[name] = Instance(
+            name, where, meta.get(keys.zone, ""), int(number(meta.get(keys.cell, ""), 0)),
+            sized(item, word, number(meta.get(keys.size, ""), 1.0)), number(meta.get(keys.started, ""), 0.0),
+            word,
+        )
+    return list(found.values()), unused
+
+
+def said(item: Item, state: str) -> Word:
+    """The worst word of a server's checks; maintenance goes before all."""
+    worst = Word.PASSING
+    for check in item.checks:
+        if check.check_id == NODE_MAINTENANCE or check.check_id.startswith(SERVICE_MAINTENANCE):
+            return Word.MAINTENANCE
+        word = RANK.get(check.status, Word.CRITICAL)
+        if word is Word.CRITICAL or worst is Word.PASSING:
+            worst = word if word is not Word.PASSING else worst
+    return Word.MAINTENANCE if state == "draining" else worst
+
+
+def sized(item: Item, word: Word, size: float) -> float:
+    """A server's size by its weights: with a warning it bears less."""
+    weights = item.service.weights or Weights()
+    if word is Word.WARNING:
+        size *= max(0, weights.warning) / max(1, weights.passing)
+    return min(LARGEST, max(1 / LARGEST, size))
+
+
+def number(text: str, default: float) -> float:
+    try:
+        value = float(text)
+    except ValueError:
+        return default
+    return value if 0 <= value < 1e12 else default
+
+
+def answer(agent: int, header: Any) -> Answer:
+    """What an answer's headers say; `header` gives the text of one, "" if it is not there."""
+    try:
+        index = int(header("X-Consul-Index"))
+        contact = int(header("X-Consul-LastContact") or 0) / 1000
+    except ValueError:
+        raise GarbledError("no index in the answer") from None
+    return Answer(agent, max(0, index), header("X-Consul-KnownLeader") != "false", max(0.0, contact))
