A log that nobody reads no longer breaks what writes to it; a change costs what changed

Seen: sidecars whose test had died stayed for half an hour after SIGTERM. Line at fault: Log.say printed to a closed pipe, so leaving ended in BrokenPipeError before it began; the same in a flow's end. The platform's program had it too. Now a line that cannot be written is dropped; the story fails without it, both ways to start. Also: Ring.build sorts only when a server came; Consul's answers are decoded by pieces and compared with the ones before. Test programs listen outside the range the kernel gives out: a port given back had gone to a story beside.

--- a/brambleplank/decide.py
+++ b/brambleplank/decide.py
@@ -370,10 +370,12 @@
                 self.owners.pop(point, None)
         if len(self.owners) < kept:
             self.points = [point for point in self.points if point in self.owners]
-        for server in [s for s in fresh if s not in self.servers]:
+        come = [s for s in fresh if s not in self.servers]
+        for server in come:
             self.owners.update(dict.fromkeys(server.points, server))
             self.points += server.points
-        self.points.sort()
+        if come:
+            self.points.sort()
         self.servers = fresh
 
     def owner(self, spot: int) -> Server | None:
--- a/brambleplank/emulator/consul.py
+++ b/brambleplank/emulator/consul.py
@@ -69,6 +69,7 @@
         return f"127.0.0.1:{self.port}"
 
     async def listen(self) -> None:
+        self.turned = asyncio.Event()
         self.listener = await asyncio.start_server(self.serve, "127.0.0.1", self.port)
         self.port = self.listener.sockets[0].getsockname()[1]
 
@@ -79,6 +80,7 @@
             self.listener = None
         for writer in list(self.open):
             writer.transport.abort()
+        self.turned.set()
 
     def change(self, service: str, member: Member | None = None, drop: str = "") -> None:
         """A member is put in, or dropped; whoever waits on the service is answered."""
@@ -105,8 +107,8 @@
             while True:
                 head = await reader.readuntil(b"\r\n\r\n")
                 await self.answer(head.decode("latin-1"), writer)
-        except (OSError, asyncio.IncompleteReadError, asyncio.LimitOverrunError):
-            pass
+        except (OSError, asyncio.IncompleteReadError, asyncio.LimitOverrunError, asyncio.CancelledError):
+            pass  # the client went, or whoever started this ends
         finally:
             self.open.discard(writer)
             writer.close()
@@ -126,6 +128,8 @@
             wait = min(LONGEST_WAIT, seconds(asked.get("wait", "300s")) or 300.0)
             until = asyncio.get_running_loop().time() + wait
             while self.changed_at.get(service, 1) <= int(asked["index"]):
+                if writer.is_closing():
+                    return
                 left = until - asyncio.get_running_loop().time()
                 if left <= 0:
                     break
--- a/brambleplank/net/log.py
+++ b/brambleplank/net/log.py
@@ -4,6 +4,7 @@
 
 import sys
 from collections.abc import Callable
+from contextlib import suppress
 from typing import Any
 
 LINES_A_SECOND = 200
@@ -30,11 +31,17 @@
         if int(now) != self.second:
             if self.dropped:
                 dropped = f"log: {self.dropped} lines dropped"
-                print(self.form(now, dropped, {"dropped": self.dropped}), file=sys.stderr, flush=True)
+                self.write(self.form(now, dropped, {"dropped": self.dropped}))
             self.second, self.printed, self.dropped, self.turned_away = int(now), 0, 0, 0
         self.turned_away += turned_away
         if self.printed >= LINES_A_SECOND or (turned_away and self.turned_away > TURNED_AWAY):
             self.dropped += 1
             return
         self.printed += 1
-        print(self.form(now, text, fields), file=sys.stderr, flush=True)
+        self.write(self.form(now, text, fields))
+
+    @staticmethod
+    def write(line: str) -> None:
+        """Danger: its reader may be gone; a line about a flow, or about leaving, would raise there."""
+        with suppress(OSError, ValueError):
+            print(line, file=sys.stderr, flush=True)
--- a/brambleplank/sources/consul/answers.py
+++ b/brambleplank/sources/consul/answers.py
@@ -62,32 +62,49 @@
     """Not an answer on a service."""
 
 
-DECODER: msgspec.json.Decoder[list[Item]] = msgspec.json.Decoder(list[Item])
-
-
-def instances(body: bytes, keys: Keys) -> tuple[list[Instance], list[str]]:
-    """The servers of an answer, and what could not be used of it in words. Raises GarbledError."""
-    try:
-        items = DECODER.decode(body)
-    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
-        raise GarbledError(str(error)) from None
-    found: dict[str, Instance] = {}
-    unused = []
-    for item in items:
-        name = f"{item.node.node}/{item.service.id}"
-        host, port = item.service.address or item.node.address, item.service.port
-        where = addresses.read(f"[{host}]:{port}" if ":" in host else f"{host}:{port}")
-        if where is None or not WORD.fullmatch(name):
-            unused.append(f"{name!r:.80}: {host}:{port} is no address that can be used")
-            continue
-        meta = item.service.meta or {}
-        word = said(item, meta.get(keys.state, ""))
-        found[name] = Instance(
-            name, where, meta.get(keys.zone, ""), int(number(meta.get(keys.cell, ""), 0)),
-            sized(item, word, number(meta.get(keys.size, ""), 1.0)), number(meta.get(keys.started, ""), 0.0),
-            word,
-        )
-    return list(found.values()), unused
+PIECES: msgspec.json.Decoder[list[msgspec.Raw]] = msgspec.json.Decoder(list[msgspec.Raw])
+ITEM: msgspec.json.Decoder[Item] = msgspec.json.Decoder(Item)
+
+
+class Reader:
+    """Decodes answers on one service; a server whose piece is the same as before costs one look-up.
+
+    An answer always holds all of a service, however little changed; decoded anew, thousands of servers would
+    cost more than all flows.
+    """
+
+    def __init__(self, keys: Keys) -> None:
+        self.keys = keys
+        self.before: dict[bytes, Instance | str] = {}
+
+    def instances(self, body: bytes) -> tuple[list[Instance], list[str]]:
+        """The servers of an answer, and what could not be used of it in words. Raises GarbledError."""
+        now: dict[bytes, Instance | str] = {}
+        try:
+            for raw in PIECES.decode(body):
+                piece = bytes(raw)
+                now[piece] = self.before.get(piece) or instance(ITEM.decode(piece), self.keys)
+        except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
+            raise GarbledError(str(error)) from None
+        self.before = now
+        found = {each.id: each for each in now.values() if isinstance(each, Instance)}
+        return list(found.values()), [each for each in now.values() if isinstance(each, str)]
+
+
+def instance(item: Item, keys: Keys) -> Instance | str:
+    """One server, or why it cannot be used."""
+    name = f"{item.node.node}/{item.service.id}"
+    host, port = item.service.address or item.node.address, item.service.port
+    where = addresses.read(f"[{host}]:{port}" if ":" in host else f"{host}:{port}")
+    if where is None or not WORD.fullmatch(name):
+        return f"{name!r:.80}: {host}:{port} is no address that can be used"
+    meta = item.service.meta or {}
+    word = said(item, meta.get(keys.state, ""))
+    return Instance(
+        name, where, meta.get(keys.zone, ""), int(number(meta.get(keys.cell, ""), 0)),
+        sized(item, word, number(meta.get(keys.size, ""), 1.0)), number(meta.get(keys.started, ""), 0.0),
+        word,
+    )
 
 
 def said(item: Item, state: str) -> Word:
--- a/brambleplank/sources/consul/health.py
+++ b/brambleplank/sources/consul/health.py
@@ -154,8 +154,12 @@
             service.agent, service.newest, service.behind_since = answer.agent, answer.index, -1.0
         present = {instance.id for instance in instances}
         for instance in instances:
-            self.heard(now, name, service, instance, answer, fresh)
-        if fresh:
+            record = service.records.get(instance.id)
+            if record is None or record.instance is not instance or instance.word is not record.word:
+                self.heard(now, name, service, instance, answer, fresh)
+            elif instance.word is Word.MAINTENANCE:
+                record.drained_index = max(record.drained_index, answer.index)
+        if fresh and len(present) < len(service.records):  # all that are present have a record by now
             for record in [each for key, each in service.records.items() if key not in present]:
                 if record.word is not Word.ABSENT:
                     record.unsure = now < service.changed_at + self.figures.settle
--- a/brambleplank/sources/consul/source.py
+++ b/brambleplank/sources/consul/source.py
@@ -84,6 +84,7 @@
     def __init__(self, source: ConsulSource, service: str) -> None:
         self.source, self.service = source, service
         self.index, self.failures, self.agent = 0, 0, 0
+        self.reader = answers.Reader(source.asked.keys)
         self.asking: defer.Deferred[Any] | None = None
 
     def ask(self) -> None:
@@ -126,7 +127,7 @@
             return
         try:
             said = answers.answer(self.agent, header)
-            instances, unused = answers.instances(body, self.source.asked.keys)
+            instances, unused = self.reader.instances(body)
         except answers.GarbledError as error:
             self.broke(f"garbled: {error}")
             return
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -15,6 +15,7 @@
 from collections.abc import Callable, Iterator
 from contextlib import suppress
 from dataclasses import replace
+from itertools import count
 from pathlib import Path
 from typing import Any
 
@@ -257,6 +258,21 @@
     return {"seq": seq, "whole": whole, "hosts": entries}
 
 
+PORTS = count(10_000 + os.getpid() * 37 % 20_000)
+
+
+def spare_address() -> tuple[str, int]:
+    """An address for a program to listen on.
+
+    Danger: a port that the kernel chose and that was given back is soon given to the next who asks, in a
+    story that runs beside this one; so these are of another range, and each process begins elsewhere in it.
+    """
+    while True:
+        address = ("127.0.0.1", next(PORTS))
+        with suppress(OSError), socket.create_server(address):
+            return address
+
+
 PLATFORM = "from brambleplank.platform.run import main\nsys.exit(main())"
 SIDECAR = "from brambleplank.sidecar.run import main\nsys.exit(main({!r}, {!r}))"
 
@@ -270,9 +286,7 @@
     def __init__(self, folder: Path, known: dict[str, Any], patch: str = "", **changes: Any) -> None:
         self.discovery = Discovery()
         self.unix = ""
-        spare = socket.create_server(("127.0.0.1", 0))
-        self.listen = spare.getsockname()
-        spare.close()
+        self.listen = spare_address()
         config = {
             "name": "n1", "listen": f"127.0.0.1:{self.listen[1]}", "discovery": self.discovery.address,
             "seed": "1f",
--- a/tests/test_consul.py
+++ b/tests/test_consul.py
@@ -219,10 +219,10 @@
 def test_a_damaged_answer_is_garbled_or_read_and_nothing_else(at: int, put: bytes) -> None:
     members = [Member(f"s{n}", f"127.0.0.1:{7000 + n}", "a", "warning", n == 1) for n in range(2)]
     body = json.dumps([member.item() for member in members]).encode()
-    found, unused = answers.instances(body, answers.Keys())
+    found, unused = answers.Reader(answers.Keys()).instances(body)
     assert [each.word for each in found] == [Word.WARNING, MAINTAINED] and not unused
     try:
-        answers.instances(body[:at] + put + body[at + len(put):], answers.Keys())
+        answers.Reader(answers.Keys()).instances(body[:at] + put + body[at + len(put):])
     except answers.GarbledError as error:
         assert str(error)
 
--- a/tests/test_sockets.py
+++ b/tests/test_sockets.py
@@ -277,6 +277,21 @@
     assert "end broke" in program.stop()
 
 
+def test_a_program_whose_log_nobody_reads_any_more_serves_on_and_leaves_when_told(run_both: Run) -> None:
+    program, server, client, there = stood(run_both)
+    assert program.process.stderr
+    program.process.stderr.close()
+    for key in "abc":
+        caller = program.opening(key)
+        assert caller.hear() == "UP r1"
+        caller.end()
+    client.say("M 1")
+    assert there.hear() == "M 1"
+    program.process.send_signal(signal.SIGTERM)
+    assert client.hear() == "MOVE"
+    assert program.process.wait(15) == 0
+
+
 def test_a_client_of_a_server_gone_silent_is_moved_within_seven_seconds(run_both: Run) -> None:
     _, _, client, there = stood(run_both)
     client.conn.settimeout(7.0)
