--- a/benchmarks/discovery.py
+++ b/benchmarks/discovery.py
@@ -36,8 +36,8 @@
             self.watches.add(writer)
             self.tell(writer, json.dumps(self.known()))
             await reader.read()
-        except (OSError, asyncio.IncompleteReadError):
-            pass
+        except (OSError, asyncio.IncompleteReadError, asyncio.CancelledError):
+            pass  # the watch broke, or whoever started this ends
         finally:
             self.watches.discard(writer)
             writer.close()
