--- a/brambleplank/command/new_.py
+++ b/brambleplank/command/new_.py
@@ -26,6 +26,8 @@
 @click.option("--socket", help="Or the path of a Unix socket.")
 @click.option("--service", "services", multiple=True, help=SERVICE_HELP)
 @click.option("--server", "servers", multiple=True, help="NAME=ADDRESS; may be given again.")
+@click.option("--consul", "agents", multiple=True, help="Servers from Consul: an agent; may be given again.")
+@click.option("--consul-service", "found", multiple=True, help="A service there; may be given again.")
 @click.option("--zone", default="", help="The sidecar's own zone.")
 @click.option("--connections", type=int, help="Standing connections at most.")
 @click.option("--drain", help='Drain window, like "1s".')
@@ -35,8 +37,9 @@
 @click.option("--force", is_flag=True, help="Write over a file that is there.")
 def command(
     application: str | None, listen: str | None, socket: str | None, services: tuple[str, ...],
-    servers: tuple[str, ...], zone: str, connections: int | None, drain: str | None, connects: int | None,
-    ask: bool, out: str | None, force: bool,
+    servers: tuple[str, ...], agents: tuple[str, ...], found: tuple[str, ...], zone: str,
+    connections: int | None, drain: str | None, connects: int | None, ask: bool, out: str | None,
+    force: bool,
 ) -> None:
     """Write a commented file for one application, from options or questions, and its file of servers.
 
@@ -48,15 +51,19 @@
         listen = asked(asks, "Address where it connects", "--listen", LISTEN) if asks else LISTEN
     if not services:
         services = tuple(ask_services(asks))
-    if not servers:
+    if not servers and not agents:
         servers = tuple(asked(asks, "Servers (NAME=ADDRESS, by blanks)", "--server").split())
     path = Path(out or f"{application}.toml")
     beside = path.with_name(f"{path.stem}.servers.toml")
     document: dict[str, Any] = {
         "application": application, "zone": zone,
         "listen": {"socket": socket} if socket else {"address": listen},
-        "service_type": [service(text) for text in services], "servers": {"file": beside.name},
+        "service_type": [service(text) for text in services],
     }
+    if agents:
+        document["consul"] = {"agents": list(agents), "services": list(found)}
+    if servers or not agents:
+        document["servers"] = {"file": beside.name}
     if drain:
         document["drain"] = {"window": drain}
     if connects is not None:
@@ -65,12 +72,13 @@
         document["limits"] = {"connections": connections, **room_for(connections, len(servers))}
     listed = [server(text, zone) for text in servers]
     file = without_fault(document, listed)
-    for each in (path, beside):
+    texts = {path: writer.text(file), **({beside: writer.servers_text(listed)} if file.servers else {})}
+    for each in texts:
         if each.exists() and not force:
             raise click.ClickException(f"{each}: is there; --force writes over it")
-    replace(beside, writer.servers_text(listed))
-    replace(path, writer.text(file))
-    click.echo(f"{path}: written; servers in {beside}")
+    for each, text in reversed(texts.items()):
+        replace(each, text)
+    click.echo(f"{path}: written; servers in {beside}" if file.servers else f"{path}: written")
     click.echo(f"Next: brambleplank check {path}; brambleplank run {path}")
 
 
--- a/brambleplank/sources/consul/answers.py
+++ b/brambleplank/sources/consul/answers.py
@@ -142,4 +142,6 @@
         contact = int(header("X-Consul-LastContact") or 0) / 1000
     except ValueError:
         raise GarbledError("no index in the answer") from None
-    return Answer(agent, max(0, index), header("X-Consul-KnownLeader") != "false", max(0.0, contact))
+    filtered = header("X-Consul-Results-Filtered-By-ACLs") == "true"
+    leader = header("X-Consul-KnownLeader") != "false"
+    return Answer(agent, max(0, index), leader, max(0.0, contact), filtered)
--- a/brambleplank/sources/consul/health.py
+++ b/brambleplank/sources/consul/health.py
@@ -71,6 +71,7 @@
     index: int
     known_leader: bool = True
     last_contact: float = 0.0
+    filtered: bool = False  # whether the token hid some of it
 
 
 @dataclass(frozen=True)
@@ -159,7 +160,8 @@
                 self.heard(now, name, service, instance, answer, fresh)
             elif instance.word is Word.MAINTENANCE:
                 record.drained_index = max(record.drained_index, answer.index)
-        if fresh and len(present) < len(service.records):  # all that are present have a record by now
+        # Danger: what a token with fewer rights does not see would look deregistered.
+        if fresh and not answer.filtered and len(present) < len(service.records):
             for record in [each for key, each in service.records.items() if key not in present]:
                 if record.word is not Word.ABSENT:
                     record.unsure = now < service.changed_at + self.figures.settle
--- a/brambleplank/sources/consul/source.py
+++ b/brambleplank/sources/consul/source.py
@@ -134,6 +134,8 @@
         if self.failures:
             self.source.log(f"consul: {self.service}: answered again by {self.at()}")
         self.failures = 0
+        if said.filtered:
+            unused = [*unused, "the token does not see all of it; what is missing is not taken for gone"]
         self.source.unused(self.service, unused)
         taken = self.source.catalogue.told(self.source.now(), self.service, instances, said)
         # An index that went back, or is 0, is no place to wait at: the next query asks anew. So does the one
--- a/tests/test_consul.py
+++ b/tests/test_consul.py
@@ -4,6 +4,8 @@
 
 import asyncio
 import json
+import subprocess
+import sys
 import threading
 import time
 from collections.abc import Callable, Iterator
@@ -12,9 +14,11 @@
 from typing import Any
 
 import pytest
+from click.testing import CliRunner
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from brambleplank.command import main
 from brambleplank.emulator.consul import Member, StandInConsul, Step, do, script
 from brambleplank.host import Condition
 from brambleplank.sidecar.shapes import Consul, File
@@ -129,6 +133,15 @@
     assert story.log == [(0.0, "s0", DRAINING)]
 
 
+def test_what_a_token_does_not_see_is_not_gone() -> None:
+    story = Story()
+    story.wait(2.0)
+    seen = [story.instances["s0"], replace(story.instances["s1"], word=MAINTAINED)]
+    assert story.catalogue.told(story.now, "feeds", seen, Answer(0, 50, filtered=True))
+    story.wait(90.0)
+    assert [(name, condition) for _, name, condition in story.log] == [("s1", DRAINING)]
+
+
 def test_a_restarted_agent_with_a_lower_index_loses_no_server_and_is_believed_once_it_stays_so() -> None:
     story = Story()
     for name in ("s0", "s1"):
@@ -435,6 +448,41 @@
     return (int(fields[11]) + int(fields[12])) / 100
 
 
+def test_new_writes_a_file_for_consul(tmp_path: Path) -> None:
+    options = ["new", "--application=maps", "--service=views:repeatable:300ms:1800ms", "-o",
+               str(tmp_path / "maps.toml"), "--consul=127.0.0.1:8500"]
+    ran = CliRunner().invoke(main, options)
+    assert ran.exit_code == 2 and "consul.services" in ran.output
+    assert CliRunner().invoke(main, [*options, "--consul-service=feeds"]).exit_code == 0
+    ran = CliRunner().invoke(main, ["check", str(tmp_path / "maps.toml")])
+    assert ran.exit_code == 0, ran.output
+
+
+def test_watch_prints_each_change_what_was_made_of_it_and_its_delay(agents: Agents, tmp_path: Path) -> None:
+    agent = agents.new()
+    for n in range(4):
+        agents.do(agent, "register", f"s{n}", address=f"127.0.0.1:{7000 + n}", zone="a")
+    options = ["new", "--application=maps", "--service=views:repeatable:300ms:1800ms", "-o",
+               str(tmp_path / "maps.toml"), f"--consul={agent.address}", "--consul-service=feeds"]
+    assert CliRunner().invoke(main, options).exit_code == 0
+    watching = subprocess.Popen(
+        [sys.executable, "-m", "brambleplank.command", "watch", str(tmp_path / "maps.toml")],
+        stdout=subprocess.PIPE, text=True,
+    )
+    assert watching.stdout
+    try:
+        lines = iter(watching.stdout.readline, "")
+        assert any("n1/s3 ready at 127.0.0.1:7003 zone=a" in line for line in lines)
+        agents.do(agent, "maintain", "s1")
+        assert any("n1/s1 draining at 127.0.0.1:7001" in line for line in lines)
+        assert any("n1/s1 draining size=1 as maintenance after 0." in line for line in lines)
+        agents.do(agent, "critical", "s2")
+        assert any("n1/s2 draining size=1 as critical after 1." in line for line in lines)
+    finally:
+        watching.kill()
+        watching.wait()
+
+
 def test_a_file_with_consul_is_checked(tmp_path: Path) -> None:
     from tests.test_check import GOOD, faults_of
 
