Deregistered servers are gone at once; a reload to another source waits

Change: only absence right after a break, another agent or a lower index is unsure: draining at once, gone once it lasts, and kept only if most vanish so. A file whose servers come from elsewhere is not taken up before a restart. Answers that cannot be taken up are asked for with growing pauses. Code that nobody called is gone.

--- a/brambleplank/sidecar/against.py
+++ b/brambleplank/sidecar/against.py
@@ -15,7 +15,7 @@
 from brambleplank.sources.file.entries import Server
 
 # What SIGHUP takes up; all else takes a restart.
-LIVE = ("limits.connections", "limits.descriptors", "limits.memory", "servers.file", "server")
+LIVE = ("limits.connections", "limits.descriptors", "limits.memory", "servers.file")
 MEANS_NOTHING = ("end",)
 
 
@@ -35,8 +35,21 @@
         return asdict(self)
 
 
+def elsewhere(old: Told, new: Told) -> bool:
+    """Whether servers come from another kind of source: this file, a file of them, or Consul."""
+    def kind(told: Told) -> tuple[bool, bool]:
+        return told.servers_path() is not None, bool(told.file and told.file.consul)
+
+    return kind(old) != kind(new)
+
+
 def compare(old: Told, new: Told) -> list[Change]:
     """The keys whose effective values differ between two files without fault, in the files' order."""
+    if elsewhere(old, new):
+        return [Change(
+            "servers", False, "they come from elsewhere, and nothing of the file is taken up before; "
+            "its restart moves every standing connection once",
+        )]
     before, now = flat(old.file), flat(new.file)
     changes = []
     for key in [*now, *(key for key in before if key not in now)]:
--- a/brambleplank/sidecar/run.py
+++ b/brambleplank/sidecar/run.py
@@ -200,6 +200,10 @@
             more = f" (and {len(told.faults) - 1} more)" if len(told.faults) > 1 else ""
             self.proxy.log(f"reload: kept as it was: {told.lines()[0]}{more}")
             return
+        if against.elsewhere(self.told, told):
+            # Danger: a list that another source has not told yet is empty, and every server would be gone.
+            self.proxy.log("reload: kept as it was: servers come from elsewhere now, which takes a restart")
+            return
         changes = against.compare(self.told, told)
         live = [each.key for each in changes if each.live]
         waits = [each.key for each in changes if not each.live]
--- a/brambleplank/sources/consul/answers.py
+++ b/brambleplank/sources/consul/answers.py
@@ -135,7 +135,7 @@
     return value if 0 <= value < 1e12 else default
 
 
-def answer(agent: int, header: Any) -> Answer:
+def answer(agent: int, header: Any, resumed: bool) -> Answer:
     """What an answer's headers say; `header` gives the text of one, "" if it is not there."""
     try:
         index = int(header("X-Consul-Index"))
@@ -144,4 +144,4 @@
         raise GarbledError("no index in the answer") from None
     filtered = header("X-Consul-Results-Filtered-By-ACLs") == "true"
     leader = header("X-Consul-KnownLeader") != "false"
-    return Answer(agent, max(0, index), leader, max(0.0, contact), filtered)
+    return Answer(agent, max(0, index), leader, max(0.0, contact), filtered, resumed)
--- a/brambleplank/sources/consul/health.py
+++ b/brambleplank/sources/consul/health.py
@@ -3,11 +3,12 @@
 Consul says more than "a process runs", but its words flap, lag, and can be wrong of many servers at once. So:
 
 - **Maintenance is a drain**, never damped, whoever tells it; only fresh word of that age or newer lifts it.
-- **Absence** ends a server at once, unless the answer follows a change of agent or an index that went back:
-  then it has to last.
+- **Absence** ends a server at once. In an answer that follows a break, a change of agent or an index that
+  went back it is unsure: nothing new goes there, and the server is gone once that has lasted.
 - **Critical** ends new flows once it has lasted; passing again has to last too, twice as long at each flap.
-- **Too many at once** is evidence only: below a share of healthy servers, in a zone or over all, the last
-  good set stays in use, and it is said. What the sockets show still counts, in the decisions.
+- **Too many at once** critical, or absent and unsure, is evidence only: below a share of healthy servers, in
+  a zone or over all, the last good set stays in use, and it is said. What the sockets show still counts, in
+  the decisions. Plain word that servers are gone is no illness, however many they are.
 - **Old answers** (behind the newest index, no leader, long without contact) may add drains, and nothing else.
 """
 
@@ -34,7 +35,6 @@
 
 
 GOOD = (Word.PASSING, Word.WARNING)
-UNHEALTHY = (Word.CRITICAL, Word.ABSENT)
 
 
 @dataclass(frozen=True)
@@ -47,7 +47,7 @@
     forget: float = 60.0  # a flap is forgotten after so long
     healthy: float = 0.5  # share of healthy servers below which the last good set stays in use
     stalest: float = 5.0  # seconds without contact to the leader beyond which an answer is old
-    kept: float = 60.0  # for so long a set that vanished as a whole stays in use
+    kept: float = 60.0  # for so long a set that is absent and unsure as a whole stays in use
 
 
 @dataclass(frozen=True)
@@ -72,6 +72,7 @@
     known_leader: bool = True
     last_contact: float = 0.0
     filtered: bool = False  # whether the token hid some of it
+    resumed: bool = False  # whether it is the first after a break
 
 
 @dataclass(frozen=True)
@@ -108,10 +109,14 @@
         self.told: tuple[Entry, Address] | None = None
         self.flaps, self.flapped_at = 0, -inf
         self.drained_index = 0  # of the answer that told a drain
-        self.unsure = False  # its absence came right after a change of agent, or an index that went back
+        self.unsure = False  # whether its absence came right after a break
         self.groups: list[Group] = []
         self.counted = False  # whether its groups have it as ill
 
+    @property
+    def ill(self) -> bool:
+        return self.word is Word.CRITICAL or (self.word is Word.ABSENT and self.unsure)
+
     @property
     def condition(self) -> Condition | None:
         return self.told[0][3] if self.told else None
@@ -123,7 +128,7 @@
     def __init__(self) -> None:
         self.agent, self.newest = -1, 0
         self.behind_since = -1.0  # when answers began to be behind the newest; below 0: they are not
-        self.changed_at = -inf  # when the agent changed, or its index went back
+        self.changed_at = -inf  # when answers broke, the agent changed, or its index went back
         self.records: dict[str, Record] = {}
 
 
@@ -150,7 +155,7 @@
                 service.behind_since = now
             fresh = fresh and now >= service.behind_since + CATCHING_UP
         if fresh:
-            if answer.agent != service.agent or answer.index < service.newest:
+            if answer.resumed or answer.agent != service.agent or answer.index < service.newest:
                 service.changed_at = now
             service.agent, service.newest, service.behind_since = answer.agent, answer.index, -1.0
         present = {instance.id for instance in instances}
@@ -218,10 +223,9 @@
         record.groups, record.counted = [], False
 
     def count(self, record: Record) -> None:
-        ill = record.word in UNHEALTHY
         for group in record.groups:
-            group.bad += ill - record.counted
-        record.counted = ill
+            group.bad += record.ill - record.counted
+        record.counted = record.ill
 
     def look(self, group: Group) -> None:
         """Whether the last good set stays in use, or no longer does; then all of the group is looked at."""
@@ -236,7 +240,7 @@
             + ("kept as they were" if holds else "taken at its word again")
         )
         for record in group.records:
-            if record.word in UNHEALTHY:
+            if record.ill:
                 self.open[record] = None
 
     # What the proxy is told.
@@ -265,20 +269,19 @@
         if record.word is Word.MAINTENANCE:
             return Condition.DRAINING, now
         if record.word in GOOD:
-            if was is None or was is Condition.READY or record.before is Word.MAINTENANCE:
-                if was is Condition.READY and now > record.flapped_at + figures.forget:
-                    record.flaps = 0
+            if was is not Condition.DRAINING or record.before is Word.MAINTENANCE or not record.flaps:
                 return Condition.READY, now
             due = record.since + min(figures.steadiest, figures.steady * 2.0 ** (record.flaps - 1))
             return (Condition.READY, now) if now >= due else (was, due)
-        if any(group.held for group in record.groups):
-            if record.word is Word.ABSENT and now >= record.since + figures.kept:
-                return Condition.GONE, now
-            due = record.since + figures.kept if record.word is Word.ABSENT else now
-            return was or Condition.READY, due
+        held = any(group.held for group in record.groups)
         if record.word is Word.ABSENT:
-            due = record.since + figures.settle if record.unsure else now
-            return (Condition.GONE, now) if now >= due else (was or Condition.READY, due)
+            due = record.since + (figures.kept if held else figures.settle) if record.unsure else now
+            if now >= due:
+                return Condition.GONE, now
+            # Danger: one that is really gone would still get flows until that is sure.
+            return was or Condition.READY if held else Condition.DRAINING, due
+        if held:
+            return was or Condition.READY, now
         if was is None:
             return Condition.DRAINING, now
         due = record.since + figures.settle
@@ -298,7 +301,3 @@
             record.flaps, record.flapped_at = record.flaps + 1, now
         record.told = entry, instance.address
         return Change(entry, instance.address, record.word.value, record.since)
-
-    def due(self, now: float) -> float:
-        """When something may be to tell next, if nothing is heard until then; infinite if nothing."""
-        return min((self.wanted(now, record)[1] for record in self.open), default=inf)
--- a/brambleplank/sources/consul/source.py
+++ b/brambleplank/sources/consul/source.py
@@ -84,6 +84,7 @@
     def __init__(self, source: ConsulSource, service: str) -> None:
         self.source, self.service = source, service
         self.index, self.failures, self.agent = 0, 0, 0
+        self.unfit = 0  # answers in a row that were too old to be taken up
         self.reader = answers.Reader(source.asked.keys)
         self.asking: defer.Deferred[Any] | None = None
 
@@ -109,8 +110,9 @@
         asking.addErrback(self.fault)
 
     def answered(self, response: Any) -> defer.Deferred[tuple[Any, bytes]]:
-        done: defer.Deferred[bytes] = defer.Deferred(lambda _: response._transport.abortConnection())
-        response.deliverBody(Body(done))
+        done: defer.Deferred[bytes] = defer.Deferred(lambda _: body.transport.abortConnection())
+        body = Body(done)
+        response.deliverBody(body)
         return done.addCallback(lambda body: (response, body))
 
     def whole(self, found: tuple[Any, bytes]) -> None:
@@ -126,7 +128,7 @@
             self.broke(f"status {response.code}", response.code, header("Retry-After"))
             return
         try:
-            said = answers.answer(self.agent, header)
+            said = answers.answer(self.agent, header, self.failures > 0)
             instances, unused = self.reader.instances(body)
         except answers.GarbledError as error:
             self.broke(f"garbled: {error}")
@@ -142,7 +144,10 @@
         # after an answer that was behind, which would wait for a change instead of catching up.
         self.index = said.index if said.index >= self.index and taken else 0
         self.source.tick_soon()
-        self.source.later(PACE * random.uniform(1.0, 1.2), self.ask)
+        # Danger: without a leader no query waits, and each answer would be followed by the next at once.
+        self.unfit = 0 if taken else self.unfit + 1
+        pause = min(LONGEST, AGAIN * 2.0 ** (self.unfit - 1)) if self.unfit else PACE
+        self.source.later(pause * random.uniform(1.0, 1.2), self.ask)
 
     def failed(self, why: Failure) -> None:
         self.asking = None
@@ -194,7 +199,6 @@
         self.token = ""
         self.stopped = self.following = self.ticking = False
         self.complained: dict[str, list[str]] = {}
-        self.heard: list[Change] = []  # kept for whoever watches
         self.read_token()
 
     def now(self) -> float:
--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -19,7 +19,17 @@
 from hypothesis import strategies as st
 
 from brambleplank.sidecar import reader, writer
-from brambleplank.sidecar.shapes import Cold, Connects, Drain, File, Limits, Listen, Servers, ServiceType
+from brambleplank.sidecar.shapes import (
+    Cold,
+    Connects,
+    Consul,
+    Drain,
+    File,
+    Limits,
+    Listen,
+    Servers,
+    ServiceType,
+)
 from brambleplank.sources.file import entries
 from brambleplank.tables import Seconds, Size
 from tests.conftest import PATIENCE, Line, Server, Sidecar, UnixSidecar, told
@@ -243,6 +253,21 @@
     assert server.next()[1].hear() == "M 1"
 
 
+def test_a_reload_that_takes_servers_from_elsewhere_waits_for_a_restart_as_a_whole(run_beside: Run) -> None:
+    server = Server()
+    program = run_beside(fleet(server))
+    client = program.opening()
+    assert client.hear() == "UP r1"
+    here = entries.Server(name="s0", address=server.dial)
+    for servers, consul in (([here], None), ([], Consul(["127.0.0.1:9"], ["feeds"]))):
+        program.file.servers, program.file.server, program.file.consul = None, servers, consul
+        program.file.end = entries.End() if servers else None
+        program.file.limits.descriptors = 300
+        program.change()
+        assert "kept as it was: servers come from elsewhere" in program.read_again()
+        assert program.opening().hear() == "UP r1"
+
+
 def test_a_file_with_faults_starts_nothing_and_names_them_all(tmp_path: Path) -> None:
     text = 'application = "maps"\n[drain]\nwindow = "3.001s"\n[connects]\nmost = 5\n'
     (tmp_path / "maps.toml").write_text(text)
