Sidecars before the same servers share what a cold one may get

Change: `sidecars` and `number` in the file, the number also from the environment; they are the platform's own terms. The rule of [end] stands once.

--- a/brambleplank/command/check_.py
+++ b/brambleplank/command/check_.py
@@ -9,6 +9,7 @@
 
 from brambleplank.sidecar import against, reader
 from brambleplank.sources.file import entries
+from brambleplank.tables import Fault
 
 
 @click.command("check")
@@ -20,23 +21,20 @@
 
     FILE is a sidecar's file, or a file of [[server]] tables.
     """
-    text = reader.text_of(file)
-    if isinstance(text, str) and entries.is_list(text):
-        reading, servers = entries.read(text)
-        faults, told = sorted(reading.faults), None
-        says = f"{len(servers)} servers"
-    else:
-        told = reader.read(file)
-        faults = told.faults
-        says = f"{len(told.servers)} servers"
+    faults, servers, told = judged(file)
     changes: list[against.Change] = []
-    if old is not None and told is not None and not faults:
-        before = reader.read(old)
-        if before.faults:
-            click.echo("\n".join(before.lines()), err=True)
-            click.echo(f"{old}: has faults itself, so nothing can be said against it", err=True)
+    if old is not None and not faults:
+        before_faults, before_servers, before = judged(old)
+        if before_faults or (before is None) != (told is None):
+            for fault in before_faults:
+                click.echo(f"{old}: {fault}", err=True)
+            click.echo(f"{old}: has faults or is of another kind: nothing can be said against it", err=True)
             sys.exit(2)
-        changes = against.compare(before, told)
+        if told is None or before is None:
+            changes = against.moved(before_servers, servers)
+        else:
+            changes = against.compare(before, told)
+    says = f"{len(servers)} servers"
     if as_json:
         found = {
             "file": file, "good": not faults, "faults": [fault.plain() for fault in faults],
@@ -52,3 +50,13 @@
             click.echo("nothing changes")
         click.echo(f"{file}: {len(faults)} to mend" if faults else f"{file}: good; {says}")
     sys.exit(2 if faults else 0)
+
+
+def judged(file: str) -> tuple[list[Fault], list[entries.Server], reader.Told | None]:
+    """The faults and servers of a file, and what a sidecar is told by it; None: it is a list of servers."""
+    text = reader.text_of(file)
+    if isinstance(text, str) and entries.is_list(text):
+        reading, servers = entries.read(text)
+        return sorted(reading.faults), servers, None
+    told = reader.read(file)
+    return told.faults, told.servers, told
--- a/brambleplank/command/convert_.py
+++ b/brambleplank/command/convert_.py
@@ -9,31 +9,38 @@
 
 import click
 
+from brambleplank import addresses
 from brambleplank.sidecar import reader, writer
 
 
 @click.command("convert")
 @click.argument("file", type=click.Path())
+@click.option("--discovery", help="To JSON: the address of the platform's discovery.")
 @click.option("-o", "--out", type=click.Path(), help="Write there instead of to standard output.")
-def command(file: str, out: str | None) -> None:
+def command(file: str, discovery: str | None, out: str | None) -> None:
     """Turn the platform's JSON into a sidecar's file, or a sidecar's file into the platform's JSON."""
     text = reader.text_of(file)
     if not isinstance(text, str):
         fail(f"{file}: {text.wrong}; {text.instead}")
-    result = to_toml(file, text) if text.lstrip().startswith("{") else to_json(file)
+    result = to_toml(file, text) if text.lstrip().startswith("{") else to_json(file, discovery)
     if out:
         Path(out).write_text(result, encoding="utf-8")
     else:
         click.echo(result, nl=False)
 
 
-def to_json(file: str) -> str:
+def to_json(file: str, discovery: str | None) -> str:
     told = reader.read(file)
     if told.faults or told.file is None:
         fail("\n".join(told.lines()))
     if told.file.listen.socket:
         fail(f"{file}: listen.socket: the platform has no Unix sockets; write an address")
-    return json.dumps(writer.to_platform(told.file, told.servers), indent=1) + "\n"
+    if told.file.consul:
+        fail(f"{file}: consul: the platform follows its own discovery; write [servers] or [[server]]")
+    where = addresses.read(discovery or "")
+    if where is None:
+        fail("--discovery: need the address of the platform's discovery, like 10.2.0.1:8500")
+    return json.dumps(writer.to_platform(told.file, told.servers, addresses.text(where)), indent=1) + "\n"
 
 
 def to_toml(file: str, text: str) -> str:
--- a/brambleplank/command/new_.py
+++ b/brambleplank/command/new_.py
@@ -53,6 +53,8 @@
         services = tuple(ask_services(asks))
     if not servers and not agents:
         servers = tuple(asked(asks, "Servers (NAME=ADDRESS, by blanks)", "--server").split())
+    if found and not agents:
+        raise click.UsageError("--consul-service: needs --consul with the address of an agent")
     path = Path(out or f"{application}.toml")
     beside = path.with_name(f"{path.stem}.servers.toml")
     document: dict[str, Any] = {
--- a/brambleplank/sidecar/reader.py
+++ b/brambleplank/sidecar/reader.py
@@ -22,6 +22,7 @@
     "BRAMBLEPLANK_SOCKET": ("listen", "socket"),
     "BRAMBLEPLANK_SERVERS": ("servers", "file"),
     "BRAMBLEPLANK_ZONE": ("zone",),
+    "BRAMBLEPLANK_NUMBER": ("number",),
 }
 UNREADABLE = "cannot be read"
 
@@ -104,7 +105,8 @@
             # Danger: the file then says one thing and the sidecar does another.
             reading.fault(keys, f"{variable} in the environment would hide it", f"unset {variable}")
         else:
-            table[keys[-1]] = environment[variable]
+            text = environment[variable]
+            table[keys[-1]] = int(text) if keys == ("number",) and text.isdigit() else text
             told.given[".".join(keys)] = variable
 
 
--- a/brambleplank/sidecar/rules.py
+++ b/brambleplank/sidecar/rules.py
@@ -13,7 +13,7 @@
 
 from brambleplank import addresses
 from brambleplank.sidecar.shapes import ASKED_FOR, File
-from brambleplank.sources.file.entries import Server, doubled
+from brambleplank.sources.file.entries import Server, doubled, ended_last, unended
 from brambleplank.tables import Reading, duration, judged, size_text
 
 FIRST_UNPRIVILEGED = 1024
@@ -39,7 +39,8 @@
     judged([
         partial(application, reading, file), partial(listening, reading, file), partial(mode, reading, file),
         partial(asked_for, reading, file), partial(some_type, reading, file), partial(cold, reading, file),
-        partial(whence, reading, file), partial(agents, reading, file),
+        partial(whence, reading, file), partial(numbered, reading, file),
+        partial(agents, reading, file),
         partial(steadiness, reading, file), partial(whole, reading, file),
         partial(descriptors, reading, file, len(servers), machine),
         partial(memory, reading, file, len(servers), machine),
@@ -62,6 +63,15 @@
         reading.fault(("application",), "need a word", 'write application = "maps"')
 
 
+def numbered(reading: Reading, file: File) -> None:
+    """Danger: out of turn, or in a turn of another, a cold server gets the share of several."""
+    if file.number >= file.sidecars:
+        reading.fault(
+            ("number",), f"{file.number} is none of {file.sidecars} sidecars, counted from 0",
+            f"write 0 to {file.sidecars - 1}",
+        )
+
+
 def customer(reading: Reading, file: File, n: int) -> None:
     name = file.customers[n]
     if not WORD.fullmatch(name):
@@ -114,12 +124,9 @@
 def whole(reading: Reading, file: File) -> None:
     """Danger: half of a file with servers is often well formed, and lists fewer of them."""
     if file.server and file.end is None:
-        reading.places.lines.setdefault(("end",), reading.text.rstrip("\n").count("\n") + 1)
-        reading.fault(
-            ("end",), "missing: this may be half of a file", "end the file with a line [end], written last"
-        )
-    if file.end is not None and reading.last != "end":
-        reading.fault(("end",), "not the last table", "move [end] to the last line")
+        unended(reading)
+    elif file.end is not None:
+        ended_last(reading)
 
 
 def listening(reading: Reading, file: File) -> None:
--- a/brambleplank/sidecar/run.py
+++ b/brambleplank/sidecar/run.py
@@ -5,6 +5,7 @@
 import os
 import resource
 import secrets
+import shutil
 import signal
 import socket
 import sys
@@ -302,6 +303,9 @@
     if told.faults:
         print("\n".join(told.lines()), file=sys.stderr)
         return 2
+    if command and shutil.which(command[0]) is None:
+        print(f"{command[0]}: no such command to start as the application", file=sys.stderr)
+        return 2
     allow(told.file.limits.descriptors if told.file else 0)
     sidecar = Sidecar(told, command)
     try:
--- a/brambleplank/sidecar/shapes.py
+++ b/brambleplank/sidecar/shapes.py
@@ -198,6 +198,14 @@
     probes: Annotated[bool, of(
         "whether servers answer PING, so that slow ones are seen early", "true",
     )] = False
+    sidecars: Annotated[int, of(
+        "sidecars that send to the same servers, this one included; they share what cold ones may get", "1",
+        "a cold server is not pushed over", 1, 10_000,
+    )] = 1
+    number: Annotated[int, of(
+        "its own number among them, from 0, another one for each", "0", "a cold server is not pushed over",
+        0, 9999,
+    )] = 0
     limits: Limits = msgspec.field(default_factory=Limits)
     connects: Connects = msgspec.field(default_factory=Connects)
     drain: Drain = msgspec.field(default_factory=Drain)
@@ -231,7 +239,8 @@
             item["window_us"] = round(kind.window * MICRO)
         kinds.append(item)
     return {
-        "balancers": 1, "slot_no": 0, "tick_us": round(TICK * MICRO), "discovery": "pull", "az": file.zone,
+        "balancers": file.sidecars, "slot_no": file.number, "tick_us": round(TICK * MICRO),
+        "discovery": "pull", "az": file.zone,
         "policy_limits": {
             "max_connects": file.connects.most, "cancelling": file.connects.withdraw,
             "retry_after": file.connects.come_back_within > 0,
--- a/brambleplank/sidecar/writer.py
+++ b/brambleplank/sidecar/writer.py
@@ -105,11 +105,11 @@
 WORDS_OF_EFFECT = {word: effect for effect, word in EFFECT_WORDS.items()}
 
 
-def to_platform(file: File, servers: list[Server]) -> dict[str, Any]:
-    """The platform's JSON of the same sidecar: its list becomes `known`, followed where discovery is."""
+def to_platform(file: File, servers: list[Server], discovery: str) -> dict[str, Any]:
+    """The platform's JSON of the same sidecar: its list becomes `known`, followed at discovery's address."""
     states = {condition: state for state, condition in STATES.items()}
     return {
-        "name": file.application, "listen": file.listen.address or "", "discovery": "127.0.0.1:8500",
+        "name": file.application, "listen": file.listen.address or "", "discovery": discovery,
         "seed": secrets.token_hex(8),
         "limits": {"memory_mb": file.limits.memory // 1024**2, "sockets": file.limits.descriptors},
         "known": {"seq": 0, "whole": True, "hosts": [
@@ -143,6 +143,7 @@
     memory = told.get("limits", {}).get("memory_mb", 128) * 1024**2
     document: dict[str, Any] = {
         "application": told["name"], "listen": {"address": told["listen"]},
+        "sidecars": max(1, settings["balancers"]), "number": settings["slot_no"],
         "zone": settings.get("az", ""), "groups": bool(facts.get("groups", False)),
         "probes": bool(limits.get("may_probe", False)),
         "customers": [item["name"] for item in settings.get("tenants") or ()],
--- a/brambleplank/sources/file/entries.py
+++ b/brambleplank/sources/file/entries.py
@@ -70,17 +70,25 @@
         return reading, []
     servers = reading.decode(List, reading.tables).server
     if "end" not in reading.tables:
-        last = max(1, text.rstrip("\n").count("\n") + 1)
-        reading.places.lines.setdefault(("end",), last)
-        reading.fault(
-            ("end",), "missing: this may be half of a file", "end the file with a line [end], written last"
-        )
-    elif reading.last != "end":
-        reading.fault(("end",), "not the last table", "move [end] to the last line")
+        unended(reading)
+    else:
+        ended_last(reading)
     judged([lambda: doubled(reading, servers, ("server",))])
     return reading, [] if reading.faults else servers
 
 
+def unended(reading: Reading) -> None:
+    reading.places.lines.setdefault(("end",), reading.text.rstrip("\n").count("\n") + 1)
+    reading.fault(
+        ("end",), "missing: this may be half of a file", "end the file with a line [end], written last"
+    )
+
+
+def ended_last(reading: Reading) -> None:
+    if reading.last != "end":
+        reading.fault(("end",), "not the last table", "move [end] to the last line")
+
+
 def doubled(reading: Reading, servers: list[Server], at: Path) -> None:
     """Names and addresses that two servers share, however written, and addresses that are none."""
     names: dict[str, int] = {}
--- a/brambleplank/sources/file/source.py
+++ b/brambleplank/sources/file/source.py
@@ -78,7 +78,11 @@
     def read(self) -> tuple[list[str], list[entries.Server]]:
         """In a thread: nothing of the proxy is touched here."""
         with open(self.path, "rb") as file:
-            text = file.read(LARGEST + 1).decode()
+            data = file.read(LARGEST + 1)
+        try:
+            text = data.decode()
+        except UnicodeDecodeError as error:
+            return [f"not UTF-8 at byte {error.start}"], []
         reading, servers = entries.read(text)
         return [str(fault) for fault in sorted(reading.faults)], servers
 
--- a/tests/test_check.py
+++ b/tests/test_check.py
@@ -156,6 +156,8 @@
     ('groups = true', 'groups = "yes"', 'groups', 'yes'),
     ('"umbra"', '"um bra"', 'customers[2]', 'um bra'),
     ('"umbra"', '"acme"', 'customers[2]', 'acme'),
+    ('zone = "a"', 'zone = "a"\nsidecars = 3\nnumber = 3', 'number', 'number = 3'),
+    ('zone = "a"', 'zone = "a"\nsidecars = 0', 'sidecars', 'sidecars = 0'),
     ('application = "maps"', 'application = " "', 'application', 'application'),
     ('application = "maps"\n', '', 'application', 'zone'),
     ('form = "lines"', 'form = "xml"', 'log.form', 'xml'),
@@ -213,6 +215,9 @@
 def test_the_environment_fills_what_the_file_leaves_out_and_hides_nothing(tmp_path: Path) -> None:
     (fault,) = faults_of(GOOD, tmp_path, {"BRAMBLEPLANK_LISTEN": "127.0.0.1:7401"})
     assert (fault.key, fault.line) == ("listen.address", 8) and "BRAMBLEPLANK_LISTEN" in fault.wrong
+    shared = GOOD.replace('zone = "a"', 'zone = "a"\nsidecars = 3')
+    assert faults_of(shared, tmp_path, {"BRAMBLEPLANK_NUMBER": "2"}) == []
+    assert [fault.key for fault in faults_of(shared, tmp_path, {"BRAMBLEPLANK_NUMBER": "3"})] == ["number"]
     without = GOOD.replace('[listen]\naddress = "127.0.0.1:7400"\n', "")
     assert faults_of(without, tmp_path, {"BRAMBLEPLANK_LISTEN": "127.0.0.1:7401"}) == []
     assert [fault.key for fault in faults_of(without, tmp_path)] == ["listen"]
@@ -230,6 +235,12 @@
     assert ran.exit_code == 2 and "end: missing" in ran.output
     servers.write_text(servers.read_text() + "[end]\n")
     assert CliRunner().invoke(main, ["check", str(servers)]).exit_code == 0
+    old = tmp_path / "old.toml"
+    old.write_text(servers.read_text().replace("7501", "7502"))
+    ran = CliRunner().invoke(main, ["check", str(servers), "--against", str(old)])
+    assert ran.exit_code == 0 and "server feed1: taken up by SIGHUP; another address" in ran.output
+    ran = CliRunner().invoke(main, ["check", str(servers), "--against", str(tmp_path / "maps.toml")])
+    assert ran.exit_code == 2 and "nothing can be said against it" in ran.output
 
 
 def test_against_an_old_file_it_says_what_waits_and_what_stands_elsewhere(tmp_path: Path) -> None:
@@ -274,10 +285,13 @@
     path, other, back = (tmp_path / name for name in ("maps.toml", "config.json", "back.toml"))
     path.write_text(GOOD)
     for source, out in ((path, other), (other, back)):
-        ran = CliRunner().invoke(main, ["convert", str(source), "-o", str(out)], env={})
+        options = ["--discovery", "10.2.0.1:8500"] if source is path else []
+        ran = CliRunner().invoke(main, ["convert", str(source), "-o", str(out), *options], env={})
         assert ran.exit_code == 0, ran.output
     before, after = reader.read(str(path), {}, HERE), reader.read(str(back), {}, HERE)
     assert after.faults == [] and after.terms == before.terms and after.servers == before.servers
+    ran = CliRunner().invoke(main, ["convert", str(path)], env={})
+    assert ran.exit_code == 2 and "--discovery" in ran.output
     for bad in ("{", '{"name": 1}', '{"name": "x", "settings": []}', "[1"):
         other.write_text(bad)
         ran = CliRunner().invoke(main, ["convert", str(other)], env={})
--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -48,7 +48,7 @@
         time.sleep(0.01)
 
 
-@pytest.mark.parametrize("part", [0.0, 0.5, 0.9, "missing"])
+@pytest.mark.parametrize("part", [0.0, 0.5, 0.9, "missing", "bytes"])
 def test_half_a_file_under_load_costs_no_flow_and_the_old_list_stays(run_beside: Run, part: Any) -> None:
     servers = [Server() for _ in range(3)]
     program = run_beside(fleet(*servers))
@@ -56,6 +56,8 @@
     whole = program.servers.read_text()
     if part == "missing":
         program.servers.rename(program.servers.with_suffix(".away"))
+    elif part == "bytes":
+        program.servers.write_bytes(whole.encode().replace(b"s1", b"\xff1"))
     else:
         program.servers.write_text(whole[: int(len(whole) * part)])
     said = False
@@ -167,6 +169,23 @@
     assert program.process.returncode == 3 and "application ended with 3" in log and "stop: empty" in log
 
 
+def test_an_application_that_is_not_there_starts_nothing(run_beside: Run) -> None:
+    program = run_beside(fleet(Server()), command=("./nowhere",))
+    log = program.log()
+    assert program.process.returncode == 2 and log.startswith("./nowhere: no such command")
+    assert log.count("\n") == 1
+
+
+def test_an_application_that_does_not_go_when_told_is_killed(run_beside: Run) -> None:
+    patch = "from brambleplank.sidecar import run\nrun.APPLICATION_LEAVES = 0.2"
+    deaf = "import signal, time; signal.signal(signal.SIGTERM, signal.SIG_IGN); time.sleep(50)"
+    program = run_beside(fleet(Server()), command=(sys.executable, "-c", deaf), patch=patch)
+    client = program.opening()
+    assert client.hear() == "UP r1"
+    program.line("ready: ")
+    assert "application ended with 137" in program.stop()
+
+
 def test_an_application_that_goes_by_itself_leaves_nothing_open_and_may_come_back(run_beside: Run) -> None:
     server = Server()
     program = run_beside(fleet(server))
