Only the command prints: try and watch say what they have to through it

Seen on rereading: the emulator and the sidecar's watch printed by themselves, and a file was replaced as a whole in four places of their own.

--- a/brambleplank/command/new_.py
+++ b/brambleplank/command/new_.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import os
 import sys
 from pathlib import Path
 from typing import Any
@@ -79,7 +78,7 @@
         if each.exists() and not force:
             raise click.ClickException(f"{each}: is there; --force writes over it")
     for each, text in reversed(texts.items()):
-        replace(each, text)
+        writer.replace(each, text)
     click.echo(f"{path}: written; servers in {beside}" if file.servers else f"{path}: written")
     click.echo(f"Next: brambleplank check {path}; brambleplank run {path}")
 
@@ -139,10 +138,3 @@
             click.echo(f"{fault.key}: {fault.wrong}; {fault.instead}", err=True)
         sys.exit(2)
     return file
-
-
-def replace(path: Path, text: str) -> None:
-    """Danger: written in place, a sidecar that follows the file could read half of it."""
-    part = path.with_name(f".{path.name}.part")
-    part.write_text(text, encoding="utf-8")
-    os.replace(part, path)
--- a/brambleplank/command/try_.py
+++ b/brambleplank/command/try_.py
@@ -18,4 +18,4 @@
     """
     from brambleplank.emulator.trial import main
 
-    sys.exit(main(seconds, flows, keep))
+    sys.exit(main(seconds, flows, keep, click.echo))
--- a/brambleplank/command/watch_.py
+++ b/brambleplank/command/watch_.py
@@ -14,4 +14,4 @@
     """Follow the servers of FILE, and print each change, what was made of it and why, and its delay."""
     from brambleplank.sidecar.watch import main
 
-    sys.exit(main(file, seconds))
+    sys.exit(main(file, seconds, click.echo))
--- a/brambleplank/emulator/trial.py
+++ b/brambleplank/emulator/trial.py
@@ -6,13 +6,13 @@
 from __future__ import annotations
 
 import asyncio
-import os
 import random
 import signal
 import sys
 import tempfile
 import time
 from collections import Counter
+from collections.abc import Callable
 from contextlib import suppress
 from pathlib import Path
 
@@ -41,13 +41,12 @@
 class Trial:
     """One run of it."""
 
-    def __init__(self, folder: Path, seconds: float, rate: int) -> None:
-        self.folder, self.seconds, self.rate = folder, seconds, rate
+    def __init__(self, folder: Path, seconds: float, rate: int, say: Callable[[str], object]) -> None:
+        self.folder, self.seconds, self.rate, self.say = folder, seconds, rate, say
         self.rng = random.Random(1)
         self.servers = [StandIn(f"feed{n}") for n in range(1, 5)]
         self.states = {server.name: "ready" for server in self.servers}
         self.stories: list[Story] = []
-        self.open: set[Caller] = set()
         self.tasks: set[asyncio.Task[None]] = set()
         self.socket = folder / "brambleplank.sock"
         self.drained_at = 0.0
@@ -70,7 +69,7 @@
             )
             try:
                 if not await self.ready(sidecar):
-                    print(self.log.read_text(), file=sys.stderr)
+                    self.say(self.log.read_text())
                     return 2
                 await self.morning()
                 sidecar.send_signal(signal.SIGTERM)
@@ -90,12 +89,10 @@
         return False
 
     def write_servers(self) -> None:
-        part = self.folder / ".trial.part"
-        part.write_text(writer.servers_text([
+        writer.replace(self.folder / "trial.servers.toml", writer.servers_text([
             Server(name=server.name, address=server.address, state=self.states[server.name])  # type: ignore[arg-type]
             for server in self.servers if self.states[server.name] != "gone"
-        ]), encoding="utf-8")
-        os.replace(part, self.folder / "trial.servers.toml")
+        ]))
 
     async def morning(self) -> None:
         """Flows all the time; a quarter in, feed1 drains; half in, feed2 dies; then feed1 is gone."""
@@ -106,13 +103,13 @@
         ]
         while (now := time.monotonic() - began) < self.seconds:
             while events and now >= events[0][0] * self.seconds:
-                print(f"{now:5.1f} s  {events[0][1]}")
+                self.say(f"{now:5.1f} s  {events[0][1]}")
                 events.pop(0)[2]()
             while sent < now * self.rate:
                 self.call(TYPES[sent % len(TYPES)].name)
                 sent += 1
             await asyncio.sleep(0.005)
-        print(f"{self.seconds:5.1f} s  the sidecar is told to leave")
+        self.say(f"{self.seconds:5.1f} s  the sidecar is told to leave")
 
     def drain(self) -> None:
         self.states["feed1"] = "draining"
@@ -146,23 +143,23 @@
             self.call(story.service_type, returns=True)
 
     def tell(self, code: int) -> int:
-        """Prints what became of all, and whether the rules were kept."""
-        print(f"\n{'service type':14}{'flows':>7}" + "".join(f"{word:>13}" for word in GIVEN)
+        """Says what became of all, and whether the rules were kept."""
+        self.say(f"\n{'service type':14}{'flows':>7}" + "".join(f"{word:>13}" for word in GIVEN)
               + "   then " + "".join(f"{word:>7}" for word in ENDS) + f"{'setup p50':>12}{'p99':>9}")
         for kind in TYPES:
             mine = [story for story in self.stories if story.service_type == kind.name]
             answers = Counter(story.answers[0] for story in mine if story.answers)
             ends = Counter(story.ended for story in mine)
             waits = sorted(story.setup for story in mine if story.answers[:1] == ["established"]) or [0.0]
-            print(f"{kind.name:14}{len(mine):7}" + "".join(f"{answers[word]:13}" for word in GIVEN)
+            self.say(f"{kind.name:14}{len(mine):7}" + "".join(f"{answers[word]:13}" for word in GIVEN)
                   + "        " + "".join(f"{ends[word]:7}" for word in ENDS)
                   + f"{waits[len(waits) // 2] * 1000:9.1f} ms{waits[len(waits) * 99 // 100] * 1000:6.1f} ms")
-        print()
+        self.say("")
         for server in self.servers:
-            print(f"{server.name}  {len(server.openings):5} flows  {self.states[server.name]}")
+            self.say(f"{server.name}  {len(server.openings):5} flows  {self.states[server.name]}")
         faults = self.faults(code)
-        print("\nRules: " + ("all kept" if not faults else "; ".join(faults)))
-        print("Next: brambleplank new, then check, explain and run; docs/sidecar.md")
+        self.say("\nRules: " + ("all kept" if not faults else "; ".join(faults)))
+        self.say("Next: brambleplank new, then check, explain and run; docs/sidecar.md")
         return 1 if faults else 0
 
     def faults(self, code: int) -> list[str]:
@@ -183,16 +180,16 @@
             after = [opening.at - self.drained_at for opening in self.servers[0].openings]
             last = max(after, default=0.0)
             when = f"{last:.2f} s after" if last > 0 else "before"
-            print(f"feed1 had its last new flow {when} the list told of its drain ({DRAIN} s: allowed)")
+            self.say(f"feed1 had its last new flow {when} the list told of its drain ({DRAIN} s: allowed)")
             if last > DRAIN + LATE:
                 found.append("the drain was not kept")
         return found
 
 
-def main(seconds: float, rate: int, keep: str | None) -> int:
+def main(seconds: float, rate: int, keep: str | None, say: Callable[[str], object]) -> int:
     """Plays it in a folder of its own, or in the one to keep."""
     if keep:
         Path(keep).mkdir(parents=True, exist_ok=True)
-        return asyncio.run(Trial(Path(keep).resolve(), seconds, rate).play())
+        return asyncio.run(Trial(Path(keep).resolve(), seconds, rate, say).play())
     with tempfile.TemporaryDirectory() as folder:
-        return asyncio.run(Trial(Path(folder), seconds, rate).play())
+        return asyncio.run(Trial(Path(folder), seconds, rate, say).play())
--- a/brambleplank/sidecar/watch.py
+++ b/brambleplank/sidecar/watch.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-import sys
+from collections.abc import Callable
 from typing import Any
 
 from brambleplank.host import Address, Entry
@@ -15,13 +15,13 @@
 class Follower:
     """Stands where the proxy stands for a source."""
 
-    def __init__(self, terms: Any) -> None:
-        self.terms = terms
+    def __init__(self, terms: Any, say: Callable[[str], object]) -> None:
+        self.terms, self.say = terms, say
         self.clock = Clock()
         self.known: dict[str, tuple[Entry, Address]] = {}
 
     def log(self, text: str) -> None:
-        print(f"{self.clock.now():.3f} {text}", flush=True)
+        self.say(f"{self.clock.now():.3f} {text}")
 
     def fault(self, error: BaseException, trace: object) -> None:
         self.log(f"fault {type(error).__name__}: {error}")
@@ -43,13 +43,13 @@
             self.known[server] = entry, addresses[server]
 
 
-def main(path: str, seconds: float) -> int:
+def main(path: str, seconds: float, say: Callable[[str], object]) -> int:
     """Runs for so long, or until interrupted; 2 if the file has a fault."""
     told = read(path)
     if told.faults:
-        print("\n".join(told.lines()), file=sys.stderr)
+        say("\n".join(told.lines()))
         return 2
-    follower: Any = Follower(told.terms)
+    follower: Any = Follower(told.terms, say)
     source = source_of(follower, told)
 
     def begin() -> None:
--- a/brambleplank/sidecar/writer.py
+++ b/brambleplank/sidecar/writer.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import secrets
+from pathlib import Path
 from typing import Any, get_type_hints
 
 import msgspec
@@ -100,6 +101,13 @@
     return document.as_string() + (f"\n{server_tables(file.server)}" if file.server else "")
 
 
+def replace(path: Path, text: str) -> None:
+    """Writes a file as a whole. Danger: written in place, whoever follows it could read half of it."""
+    part = path.with_name(f".{path.name}.part")
+    part.write_text(text, encoding="utf-8")
+    part.replace(path)
+
+
 # From and to the platform's JSON.
 
 WORDS_OF_EFFECT = {word: effect for effect, word in EFFECT_WORDS.items()}
--- a/brambleplank/sources/consul/answers.py
+++ b/brambleplank/sources/consul/answers.py
@@ -14,7 +14,7 @@
 from brambleplank.sources.consul.health import Answer, Instance, Word
 
 NODE_MAINTENANCE, SERVICE_MAINTENANCE = "_node_maintenance", "_service_maintenance:"
-WORD = re.compile(r"[!-~]{1,128}")
+WORD = re.compile(r"[!-~]{1,128}")  # what log lines can carry
 RANK = {"passing": Word.PASSING, "warning": Word.WARNING, "critical": Word.CRITICAL}
 LARGEST = 100.0
 
--- a/brambleplank/tables.py
+++ b/brambleplank/tables.py
@@ -296,11 +296,11 @@
         except msgspec.ValidationError:
             self.fault(path, f"need {named(kind)}, not {shown(value)}", f"write {path[-1]} = {example(hint)}")
             return UNKNOWN
-        for least, most in ranges(hint):
-            if not least <= decoded <= most:  # also what is no number
-                bounds = f"{text_of(least, kind)} to {text_of(most, kind)}"
-                self.fault(path, f"{shown(value)} is out of its range", f"write {bounds}")
-                return UNKNOWN
+        if not within(hint, decoded):
+            least, most = extra(hint, "range")
+            bounds = f"{text_of(least, kind)} to {text_of(most, kind)}"
+            self.fault(path, f"{shown(value)} is out of its range", f"write {bounds}")
+            return UNKNOWN
         return decoded
 
 
@@ -317,9 +317,8 @@
     except msgspec.ValidationError:
         return None
     for key, hint in hints_of(shape).items():
-        for least, most in ranges(hint):
-            if not all((value := getattr(each, key)) is None or least <= value <= most for each in found):
-                return None
+        if not all(within(hint, getattr(each, key)) for each in found):
+            return None
     return found
 
 
@@ -351,9 +350,10 @@
     return default
 
 
-def ranges(hint: Any) -> list[tuple[float, float]]:
+def within(hint: Any, value: Any) -> bool:
+    """Whether a value is in its key's range; what is no number (nan) is not, what is left out is."""
     found = extra(hint, "range")
-    return [found] if found else []
+    return value is None or found is None or bool(found[0] <= value <= found[1])
 
 
 def example(hint: Any) -> str:
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -374,7 +374,7 @@
     def begin(self, folder: Path, patch: str) -> None:
         self.path, self.servers = folder / "maps.toml", folder / "maps.servers.toml"
         file = writer.from_platform(self.config)
-        self.replace(self.servers, writer.servers_text(file.server))
+        writer.replace(self.servers, writer.servers_text(file.server))
         file.servers, file.server, file.end = Servers(self.servers.name), [], None
         if self.unix:
             file.listen = Listen(socket=self.unix)
@@ -385,17 +385,11 @@
 
     def change(self) -> None:
         """Its file is written anew, as a whole."""
-        self.replace(self.path, writer.text(self.file))
-
-    @staticmethod
-    def replace(path: Path, text: str) -> None:
-        part = path.with_suffix(".part")
-        part.write_text(text)
-        part.replace(path)
+        writer.replace(self.path, writer.text(self.file))
 
     def tell(self, **hosts: Any) -> None:
         file = writer.from_platform({**self.config, "known": told(1, True, **hosts)})
-        self.replace(self.servers, writer.servers_text(file.server))
+        writer.replace(self.servers, writer.servers_text(file.server))
 
     def read_again(self, text: str = "", **changes: Any) -> str:
         if text:
--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -376,7 +376,7 @@
     file.listen = Listen(socket=str(folder / "b.sock"))
     file.servers = Servers("maps.servers.toml")
     listed = servers or [entries.Server(name="s0", address="127.0.0.1:9")]
-    Sidecar.replace(folder / "maps.servers.toml", writer.servers_text(listed))
+    writer.replace(folder / "maps.servers.toml", writer.servers_text(listed))
     (folder / "maps.toml").write_text(writer.text(file))
     return reader.read(str(folder / "maps.toml"), {})
 
