One way to reach an HTTP server by its address; what stands outlives every word of the catalogue

Seen on rereading: discovery and Consul each had the same endpoint factory; no story sent a line on a standing flow after critical and deregistration; scripts of the stand-in agent were read in tests, but never played. Change: net/straight serves both sources; the drain story goes on through critical and gone; a story plays a script.

--- a/brambleplank/sources/consul/source.py
+++ b/brambleplank/sources/consul/source.py
@@ -8,18 +8,16 @@
 from urllib.parse import quote, urlencode
 
 from twisted.internet import defer
-from twisted.internet.endpoints import TCP4ClientEndpoint
 from twisted.internet.protocol import Protocol
 from twisted.python.failure import Failure
 from twisted.web.client import Agent, HTTPConnectionPool, ResponseDone
 from twisted.web.http_headers import Headers
-from twisted.web.iweb import IAgentEndpointFactory
-from zope.interface import implementer  # type: ignore[import-untyped]
 
 from brambleplank import addresses
 from brambleplank.host import Address
 from brambleplank.net.loop import reactor
 from brambleplank.net.proxy import Proxy
+from brambleplank.net.straight import Straight
 from brambleplank.sources.consul import answers
 from brambleplank.sources.consul.health import Catalogue, Change, Figures
 
@@ -46,14 +44,6 @@
     figures: Figures = field(default_factory=Figures)
 
 
-@implementer(IAgentEndpointFactory)
-class Straight:
-    """Agents have addresses: nothing is looked up."""
-
-    def endpointForURI(self, uri: Any) -> TCP4ClientEndpoint:  # noqa: N802
-        return TCP4ClientEndpoint(reactor, uri.host.decode().strip("[]"), uri.port, timeout=SPARE)
-
-
 class Body(Protocol):
     """The body of an answer, within its bound."""
 
@@ -194,7 +184,7 @@
         self.catalogue = Catalogue(asked.figures)
         pool = HTTPConnectionPool(reactor, persistent=True)
         pool.maxPersistentPerHost, pool.retryAutomatically = len(asked.services), False
-        self.agent = Agent.usingEndpointFactory(reactor, Straight(), pool)
+        self.agent = Agent.usingEndpointFactory(reactor, Straight(SPARE), pool)
         self.watches = [Watch(self, service) for service in asked.services]
         self.token = ""
         self.stopped = self.following = self.ticking = False
--- a/brambleplank/sources/platform/discovery.py
+++ b/brambleplank/sources/platform/discovery.py
@@ -7,18 +7,16 @@
 from typing import Any
 
 from twisted.internet import defer
-from twisted.internet.endpoints import TCP4ClientEndpoint
 from twisted.internet.protocol import Protocol, connectionDone
 from twisted.protocols.basic import LineReceiver
 from twisted.protocols.policies import TimeoutMixin
 from twisted.python.failure import Failure
 from twisted.web.client import Agent
-from twisted.web.iweb import IAgentEndpointFactory
-from zope.interface import implementer  # type: ignore[import-untyped]
 
 from brambleplank.host import Address, Condition, Entry
 from brambleplank.net.loop import reactor
 from brambleplank.net.proxy import Proxy
+from brambleplank.net.straight import Straight
 
 CATCHING_UP = 2.5  # seconds in which discovery at a new address may still be behind what is held
 SOON_AGAIN = 0.25  # seconds between two requests meanwhile
@@ -46,17 +44,6 @@
         raise GarbledError(f"{type(error).__name__} {error}") from None
 
 
-@implementer(IAgentEndpointFactory)
-class Straight:
-    """Discovery has an address, no name: nothing is looked up, no thread is started for it."""
-
-    def __init__(self, address: tuple[str, int]) -> None:
-        self.address = address
-
-    def endpointForURI(self, uri: object) -> TCP4ClientEndpoint:  # noqa: N802
-        return TCP4ClientEndpoint(reactor, *self.address, timeout=SILENT_AFTER)
-
-
 class Watch(LineReceiver, TimeoutMixin):
     """One open watch."""
 
@@ -113,7 +100,7 @@
         self.at(address)
 
     def at(self, address: tuple[str, int]) -> None:
-        self.agent = Agent.usingEndpointFactory(reactor, Straight(address))
+        self.agent = Agent.usingEndpointFactory(reactor, Straight(SILENT_AFTER))
         self.url = b"http://%s:%d/discovery/hosts?watch=1" % (address[0].encode(), address[1])
 
     def turn_to(self, address: tuple[str, int]) -> None:
--- a/tests/test_consul.py
+++ b/tests/test_consul.py
@@ -19,7 +19,7 @@
 from hypothesis import strategies as st
 
 from brambleplank.command import main
-from brambleplank.emulator.consul import Member, StandInConsul, Step, do, script
+from brambleplank.emulator.consul import Member, StandInConsul, Step, do, play, script
 from brambleplank.host import Condition
 from brambleplank.sidecar.shapes import Consul, File
 from brambleplank.sources.consul import answers
@@ -257,6 +257,21 @@
         assert str(error)
 
 
+def test_a_script_is_played_in_its_order() -> None:
+    async def morning() -> StandInConsul:
+        agent = StandInConsul()
+        steps = [("0.02s", "critical", "s0"), ("0s", "register", "s0"), ("0.03s", "maintain", "s0")]
+        await play(agent, script("".join(
+            f'[[step]]\nat = "{at}"\ndo = "{what}"\nservice = "feeds"\nserver = "{server}"\n'
+            + ('address = "127.0.0.1:7000"\n' if what == "register" else "") for at, what, server in steps
+        )))
+        return agent
+
+    agent = asyncio.run(morning())
+    member = agent.services["feeds"]["s0"]
+    assert (member.status, member.maintenance, agent.index) == ("critical", True, 4)
+
+
 def test_a_script_names_the_step_that_is_wrong() -> None:
     steps = script('[[step]]\nat = "1s"\ndo = "critical"\nservice = "feeds"\nserver = "s0"\n')
     assert steps == [Step(1.0, "critical", "feeds", "s0")]
@@ -368,6 +383,11 @@
     agents.do(agent, "lift", server)
     program.line("ready size=1 as passing")
     assert word in words(program, 40, 100)
+    for what in ("critical", "deregister"):
+        agents.do(agent, what, server)
+        program.line("draining" if what == "critical" else "gone")
+        standing.say(what)  # no word of the catalogue alone ends what stands
+        assert there.hear() == what
 
 
 def test_an_agent_that_restarts_mid_watch_with_a_lower_index_costs_no_server(
