--- a/tests/test_consul.py
+++ b/tests/test_consul.py
@@ -485,6 +485,23 @@
     return (int(fields[11]) + int(fields[12])) / 100
 
 
+def test_an_agent_without_leader_is_asked_at_growing_pauses(
+    agents: Agents, beside: Callable[[Consul], Beside]
+) -> None:
+    agent, server = agents.new(), Server()
+    fleet(agents, agent, server)
+    program = beside(asked(agent))
+    assert program.opening().hear() == "UP r1"
+    agents.do(agent, "no_leader")
+    agents.do(agent, "passing", "s0")  # whoever waits is answered
+    before, until = agent.answers, time.monotonic() + 3.0
+    while time.monotonic() < until:
+        words(program, 1)
+        time.sleep(0.05)
+    assert agent.answers - before <= 6
+    assert program.opening().hear() == "UP r1"
+
+
 def test_new_writes_a_file_for_consul(tmp_path: Path) -> None:
     options = ["new", "--application=maps", "--service=views:repeatable:300ms:1800ms", "-o",
                str(tmp_path / "maps.toml"), "--consul=127.0.0.1:8500"]
@@ -493,6 +510,10 @@
     assert CliRunner().invoke(main, [*options, "--consul-service=feeds"]).exit_code == 0
     ran = CliRunner().invoke(main, ["check", str(tmp_path / "maps.toml")])
     assert ran.exit_code == 0, ran.output
+    ran = CliRunner().invoke(main, ["convert", str(tmp_path / "maps.toml"), "--discovery=10.2.0.1:8500"])
+    assert ran.exit_code == 2 and "consul" in ran.output
+    ran = CliRunner().invoke(main, [*options[:-1], "--server=s0=127.0.0.1:7501", "--consul-service=feeds"])
+    assert ran.exit_code == 2 and "--consul-service" in ran.output
 
 
 def test_watch_prints_each_change_what_was_made_of_it_and_its_delay(agents: Agents, tmp_path: Path) -> None:
--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -287,6 +287,15 @@
         assert program.opening().hear() == "UP r1"
 
 
+def test_sidecars_before_the_same_servers_have_turns_on_a_cold_one(tmp_path: Path) -> None:
+    file = File(
+        "maps", Listen(), [ServiceType("views", "repeatable", Seconds(0.3), Seconds(1.8))], sidecars=3,
+        number=2,
+    )
+    terms = accepted(tmp_path, file).terms
+    assert terms and (terms.proxies, terms.number) == (3, 2)
+
+
 def test_a_file_with_faults_starts_nothing_and_names_them_all(tmp_path: Path) -> None:
     text = 'application = "maps"\n[drain]\nwindow = "3.001s"\n[connects]\nmost = 5\n'
     (tmp_path / "maps.toml").write_text(text)
