A zone's proxies probe as one, and a cold server's budget is dealt out as tickets

Every proxy of a zone probed every server each second in step and told all, and each telling was a cause to move a third: thirteen tellings a second where one was meant (decide.py, measure and message_time_told). Cold dealt whole turns of fall_time, one proxy after another, with rests: with forty hardly one came before a server was warm.

Who measured a server last goes on, the others of the zone wait for its silence; a probe's usual time is told only when it is news; tickets are dealt by the server's points over slots of fall_time, by what a warm server holds.

--- a/brambleplank/decide.py
+++ b/brambleplank/decide.py
@@ -16,7 +16,7 @@
 from functools import partial
 from hashlib import md5
 from itertools import chain
-from math import exp, inf
+from math import ceil, exp, inf
 from random import Random
 from typing import Any
 
@@ -61,7 +61,7 @@
         self.silence = 0.0  # waiting that ended without an answer, since the last answer
         self.trickle = 0  # connects at once that a server set aside may have; 0: it is not set aside
         self.pause = self.retry_at = self.recent = self.recent_at = 0.0  # recent: connects there, fading
-        self.slow_until = self.late_until = self.dropping_until = self.probed_at = self.told_at = 0.0
+        self.slow_until = self.late_until = self.dropping_until = self.probe_at = self.told_at = 0.0
         self.cold_turn, self.cold_sent = -1.0, 0  # this proxy's latest turn while cold, its connects in it
 
 
@@ -174,34 +174,38 @@
 class Cold(Stage):
     """Lets a server that has just started have only this proxy's own share of its budget.
 
-    Danger: connections placed at once, by proxies that know nothing of each other, push it over. So each one
-    has turns, with rests between. Hundreds seldom have one: once half warm, it gets one fresh flow from each.
+    Danger: connections placed at once, by proxies that know nothing of each other, push it over. So its
+    budget is cut into tickets, dealt out by the server's points: all proxies deal alike, and nobody has to
+    say anything. With a whole turn for each, most of a large fleet had none before it was warm.
     """
 
     def forbids(self, now: float, flow: Flow, server: Server) -> bool:
         if not self.cold(now, server):
             return False
-        age = now - server.started
-        able = self.terms.cold_from + (1 - self.terms.cold_from) * age / self.terms.ramp_time
-        fresh = not flow.returned and not flow.connects and server is self.balancer.ring.owner(flow.spot)
-        if fresh and self.balancer.rng.random() < able - 1 / 2 and server.cold_sent == 0:
-            return False
-        turn, part = divmod(age / self.terms.fall_time, 2)
-        if turn % self.terms.proxies != self.terms.number or part >= 1:
-            return True
-        usual = self.balancer.served_rate(now) * self.terms.proxies / max(1, len(self.balancer.able))
-        budget = self.terms.overload_factor * able * usual * self.terms.fall_time  # of a server like the mean
-        return (server.cold_sent if server.cold_turn == turn else 0) + 0.5 > budget
+        slot = int((now - server.started) / self.terms.fall_time)
+        return (server.cold_sent if server.cold_turn == slot else 0) >= self.tickets(now, server, slot)
 
     def cold(self, now: float, server: Server) -> bool:
         return server.started > 0 and now < server.started + self.terms.ramp_time
 
+    def tickets(self, now: float, server: Server, slot: int) -> int:
+        """How many connects this proxy may make there in this slot."""
+        warmth = (now - server.started) / self.terms.ramp_time
+        able = self.terms.cold_from + (1 - self.terms.cold_from) * warmth
+        # What a warm server holds came to it in the time that one takes to warm up, or in more.
+        came = self.balancer.share(server) / self.terms.ramp_time
+        ended = self.balancer.served_rate(now) / max(1, len(self.balancer.able))
+        usual = max(came, ended) * self.terms.proxies
+        budget = self.terms.overload_factor * able * usual * self.terms.fall_time
+        place = (self.terms.number + server.points[slot % POINTS]) % self.terms.proxies
+        return max(0, ceil((budget - place) / self.terms.proxies))
+
     def onward(self, now: float, flow: Flow) -> bool:
         server = flow.target
         if self.cold(now, server):
-            turn = (now - server.started) / self.terms.fall_time // 2
-            server.cold_sent = server.cold_sent + 1 if server.cold_turn == turn else 1
-            server.cold_turn = turn
+            slot = int((now - server.started) / self.terms.fall_time)
+            server.cold_sent = server.cold_sent + 1 if server.cold_turn == slot else 1
+            server.cold_turn = slot
         return True
 
 
@@ -553,14 +557,16 @@
         Danger: where nobody tells how long messages take, a server with too much looks like any other.
         """
         for server in self.ready:
-            due = NEWS_PERIOD * (3 if now >= max(server.slow_until, self.begun + 4 * NEWS_PERIOD) else 1)
             # Danger: where no proxy of its zone speaks of a server, nobody would see it strained.
             silent = now - max(server.told_at, self.begun) > NEWS_PERIOD * self.rng.uniform(4, 8)
             near = server.zone == self.terms.zone or (self.terms.peers and server.held and silent)
-            if near and now >= server.probed_at + due:
-                server.probed_at = now
+            if near and now >= server.probe_at:
+                server.probe_at = now + self.between_probes(now, server)
                 self.host.probe(server)
-        self.host.alarm(NEWS_PERIOD, self.measure)
+        self.host.alarm(NEWS_PERIOD * self.rng.uniform(1 / 16, 1 / 8), self.measure)
+
+    def between_probes(self, now: float, server: Server) -> float:
+        return NEWS_PERIOD * (3 if now >= max(server.slow_until, self.begun + 4 * NEWS_PERIOD) else 1)
 
     def served_rate(self, now: float) -> float:
         """Connections a second that ended well lately: what the servers carry, whatever storms arrive."""
@@ -649,10 +655,15 @@
 
     def message_time_told(self, now: float, server: Server, seconds: float, measured: bool = False) -> None:
         self.strain.slow(now, server, seconds)
-        if not measured:
+        if measured:
+            unsaid = now >= server.told_at + 2 * NEWS_PERIOD
+            if self.terms.peers and (server.zone == self.terms.zone or server.slow_until > now or unsaid):
+                self.host.tell_peers(server, seconds)
+        else:
+            # Danger: all proxies of a zone that probe a server at once wait behind each other there, and call
+            # that strain. Whoever measured it last goes on; the others are ready for its silence.
             server.told_at = now
-        elif self.terms.peers and (server.slow_until > now or now >= server.told_at + 2 * NEWS_PERIOD):
-            self.host.tell_peers(server, seconds)  # that all is well there, only where no other has said it
+            server.probe_at = now + self.between_probes(now, server) * self.rng.uniform(1.5, 2.5)
 
     def silent(self, now: float, flow: Flow, seconds: float) -> None:
         # Danger: a dead machine says nothing; its clients wait there for as long as their connections stand.
@@ -669,7 +680,7 @@
         if self.begun < 0:
             self.begun = self.served_at = now
             if self.terms.measures:
-                self.host.alarm(NEWS_PERIOD, self.measure)
+                self.host.alarm(NEWS_PERIOD * self.rng.random(), self.measure)
             if not self.terms.push:
                 self.host.follow_list()
         self.failures = 0
--- a/brambleplank/net/peers.py
+++ b/brambleplank/net/peers.py
@@ -26,7 +26,7 @@
         self.known = frozenset(known)
 
     def tell(self, server_id: str, seconds: float, usual: float) -> None:
-        text = f"{server_id} {seconds:.3f} {usual:.5f}".encode()
+        text = (f"{server_id} {seconds:.3g}" + (f" {usual:.4f}" if usual else "")).encode()
         if len(text) <= LONGEST:
             self.transport.write(text, self.all_others)
 
--- a/brambleplank/net/probes.py
+++ b/brambleplank/net/probes.py
@@ -58,7 +58,7 @@
         delays[:] = [*delays[1 - KEPT :], delay]
         others, near = self.others(probe.server), self.near(probe.server)
         if len(delays) < (SOON if near and others else ENOUGH):
-            if near and len(delays) >= SOON:
+            if near:
                 self.measured(probe.server, 0.0)  # nothing to say yet, but other proxies can compare
             return
         usual = self.usual(probe.server)
@@ -82,6 +82,14 @@
         delays = sorted(reach_of(server).delays)
         return delays[len(delays) // 4] if delays else 0.0
 
+    def news_of_usual(self, server: Server) -> float:
+        """The usual time, if other proxies do not have it yet; else 0: what all tell, all have to read."""
+        usual, told = self.usual(server), reach_of(server).usual_told
+        if not self.near(server) or abs(usual - told) <= JITTER * told:
+            return 0.0
+        reach_of(server).usual_told = usual
+        return usual
+
     def usual_near(self, server: Server) -> float:
         """The same as seen from the server's own zone, here or by a proxy there; 0 if not known."""
         return self.usual(server) if self.near(server) else reach_of(server).usual_told
--- a/brambleplank/net/proxy.py
+++ b/brambleplank/net/proxy.py
@@ -230,8 +230,7 @@
 
     def tell_peers(self, server: Server, seconds: float) -> None:
         if self.peers:
-            usual = self.probes.usual(server) if self.probes.near(server) else 0.0
-            self.peers.tell(server.id, seconds, usual)
+            self.peers.tell(server.id, seconds, self.probes.news_of_usual(server))
 
     def room(self) -> float:
         return self.door.free()
