Proxies tell each other what they hold, so that the ring's bound is the fleet's

Each proxy's mean is under one connection a server, so twice the mean plus two never binds (decide.py, Ring.avoids). A probe's usual time was learnt from servers already late, and from the first probes, sent before any load, as the low quarter of two is the lower one (probes.py, usual and others).

Proxies tell what changed of what they hold, in three bytes a server, when two have changed, whole now and then; the bound and the share take all that was told, each word within what a proxy can hold. Times go by tags of two bytes. Probes are compared with a low one among servers of the same size. Old text datagrams are still read.

--- a/brambleplank/decide.py
+++ b/brambleplank/decide.py
@@ -12,7 +12,7 @@
 from __future__ import annotations
 
 from bisect import bisect_right
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Iterable, Iterator
 from functools import partial
 from hashlib import md5
 from itertools import chain
@@ -33,6 +33,8 @@
 LAST_PART = 2 / 5  # share of a planned stop's time, at its end, in which clients are moved
 RELIEF = 1 / 3  # share of its own on a slow server that a proxy moves a telling, on average
 ROOM_KEPT = 1 / 8  # share of the descriptors that is left to final answers and the list
+WHOLE_EVERY = 12  # tellings of what is held, of which one is whole
+MOST_TOLD = 255  # connections on a server that are told of
 TRICKLE_FULL = 8  # connects in a row that went well, doubling from one, before a server is trusted again
 
 
@@ -50,6 +52,8 @@
         self.zone, self.cell, self.size, self.condition = "", 0, 1.0, Condition.GONE
         self.unready_since = now  # when the list told this proxy that it drains or is gone
         self.held = 0  # connects sent, or told open at the start, that have not ended
+        self.elsewhere: dict[Any, int] = {}  # the same at other proxies, as each last told
+        self.others = 0  # their sum
         self.waiting: dict[Connect, None] = {}  # connects out and unanswered, oldest first
         self.groups: dict[int, dict[Flow, None]] = {}  # established here, by their place on the ring
         self.start(0.0)
@@ -62,7 +66,8 @@
         self.trickle = 0  # connects at once that a server set aside may have; 0: it is not set aside
         self.pause = self.retry_at = self.recent = self.recent_at = 0.0  # recent: connects there, fading
         self.slow_until = self.late_until = self.dropping_until = self.probe_at = self.told_at = 0.0
-        self.cold_turn, self.cold_sent = -1.0, 0  # this proxy's latest turn while cold, its connects in it
+        self.cold_turn, self.cold_sent = -1.0, 0  # this proxy's latest slot while cold, its connects in it
+        self.elsewhere, self.others = {}, 0
 
 
 class Connect:
@@ -193,9 +198,9 @@
         warmth = (now - server.started) / self.terms.ramp_time
         able = self.terms.cold_from + (1 - self.terms.cold_from) * warmth
         # What a warm server holds came to it in the time that one takes to warm up, or in more.
-        came = self.balancer.share(server) / self.terms.ramp_time
+        came = self.balancer.usual() * server.size / self.balancer.usual_size / self.terms.ramp_time
         ended = self.balancer.served_rate(now) / max(1, len(self.balancer.able))
-        usual = max(came, ended) * self.terms.proxies
+        usual = max(came / (1 + len(self.balancer.peers)), ended) * self.terms.proxies
         budget = self.terms.overload_factor * able * usual * self.terms.fall_time
         place = (self.terms.number + server.points[slot % POINTS]) % self.terms.proxies
         return max(0, ceil((budget - place) / self.terms.proxies))
@@ -365,6 +370,7 @@
         self.servers: dict[Server, None] = {}
         self.forbid: list[Callable[[float, Flow, Server], bool]] = []  # of the stages that have a say
         self.avoid: list[Callable[[float, Flow, Server], int]] = []
+        self.usual = 0.0  # held on a warm server, as the present flow finds it
 
     def build(self, servers: list[Server]) -> None:
         """Danger: with hundreds of servers a full sort at each change costs more than all flows."""
@@ -399,12 +405,12 @@
 
     def avoids(self, now: float, flow: Flow, server: Server) -> int:  # the paper's ring with our skip
         # Danger: those who come back in waves pile up where a wave of fresh flows would still fit.
-        usual = self.balancer.share(server) if flow.returned else BOUND_FACTOR * self.balancer.mean()
-        over = server.held > usual + BOUND_SPARE
+        share = server.size / self.balancer.usual_size if flow.returned else BOUND_FACTOR
+        over = server.held + server.others > share * self.usual + BOUND_SPARE
         return FULL if over and not flow.midflow else 0
 
     def onward(self, now: float, flow: Flow) -> bool:
-        target, least = None, HARMFUL
+        target, least, self.usual = None, HARMFUL, self.balancer.usual()
         home = self.balancer.homes.get(flow.spot)
         steps = self.balancer.strain.reach(now, flow)
         for server in chain([home] if home else [], self.round(flow.spot)):
@@ -506,6 +512,9 @@
         self.held, self.usual_size = 0, 1.0  # connections on ready servers; the mean of these servers' sizes
         self.gap, self.margin = 0.0, 2 * terms.tick  # usual time to an answer, over the fleet; a spare
         self.floor = min(kind.setup_target for kind in terms.service_types.values()) / 4
+        self.peers: dict[Any, float] = {}  # proxies that told what they hold, and when
+        self.told_of: dict[Server, int] = {}  # what this one told, and when it tells all again
+        self.whole_at = 0.0
         self.begun = -1.0  # when the first list came
         self.served, self.served_at = 0.0, 0.0  # ends that were well, fading over the time servers warm
         self.failures, self.stop_at = 0, inf  # calls for the list that failed in a row; end of a planned stop
@@ -543,6 +552,43 @@
     def share(self, server: Server) -> float:
         return self.mean() * server.size / self.usual_size
 
+    def usual(self) -> float:
+        """The mean count on warm servers, of this proxy and all that have told theirs."""
+        return (self.held + sum(s.others for s in self.able)) / max(1, len(self.able))
+
+    def tell_held(self, now: float) -> None:
+        """Tells the other proxies what has changed here, when more than one connection has.
+
+        Danger: where each of many holds a few connections, nobody sees a server fill up, and "plus two" of
+        each is a crowd. What is told is read by all, so it is told seldom, and whole now and then, as it may
+        be lost, or its teller start anew.
+        """
+        whole = now >= self.whole_at
+        held = {s: min(s.held, MOST_TOLD) for s in self.ready if s.held or (s in self.told_of and not whole)}
+        changes = {s: n for s, n in held.items() if n != self.told_of.get(s, 0)}
+        if whole or sum(abs(n - self.told_of.get(s, 0)) for s, n in changes.items()) > 1:
+            self.host.tell_held([(s, n) for s, n in (held if whole else changes).items()], whole)
+            self.told_of = held
+            self.whole_at = now + WHOLE_EVERY * NEWS_PERIOD if whole else self.whole_at
+        for peer in [p for p, at in self.peers.items() if now > at + 3 * WHOLE_EVERY * NEWS_PERIOD]:
+            self.forget(peer)
+            del self.peers[peer]
+        self.host.alarm(NEWS_PERIOD * self.rng.uniform(0.75, 1.25), self.tell_held)
+
+    def held_told(self, now: float, peer: Any, held: Iterable[tuple[Server, int]], whole: bool) -> None:
+        self.peers[peer] = now
+        if whole:
+            self.forget(peer)
+        for server, count in held:
+            # Danger: one confused peer could make sound servers look full; none holds so much more than this.
+            count = min(count, BOUND_FACTOR * self.held + 8 * BOUND_SPARE)
+            server.others += count - server.elsewhere.get(peer, 0)
+            server.elsewhere[peer] = count
+
+    def forget(self, peer: Any) -> None:
+        for server in self.servers.values():
+            server.others -= server.elsewhere.pop(peer, 0)
+
     def sparse(self) -> float:
         """How much longer evidence holds here, where fewer than one connection a server brings news."""
         return min(self.terms.ramp_time / self.terms.fall_time, 1 / min(1.0, self.mean() + 0.01))
@@ -681,6 +727,8 @@
             self.begun = self.served_at = now
             if self.terms.measures:
                 self.host.alarm(NEWS_PERIOD * self.rng.random(), self.measure)
+            if self.terms.measures and self.terms.peers:
+                self.host.alarm(NEWS_PERIOD * self.rng.random(), self.tell_held)
             if not self.terms.push:
                 self.host.follow_list()
         self.failures = 0
--- a/brambleplank/host.py
+++ b/brambleplank/host.py
@@ -8,7 +8,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 from enum import Enum
 from typing import Any, Protocol, TypeVar
@@ -120,6 +120,9 @@
     def tell_peers(self, server: GivenServerT, seconds: float) -> None:
         """Tell all other proxies how long messages take at a server."""
 
+    def tell_held(self, held: Iterable[tuple[GivenServerT, int]], whole: bool) -> None:
+        """Tell all other proxies how many connections stand here, by server; whole: none anywhere else."""
+
     def room(self) -> float:
         """The share of this proxy's descriptors that is free; 1 where none are counted."""
 
@@ -164,6 +167,9 @@
         While it is long, about once a second; and once when it no longer is.
         """
 
+    def held_told(self, now: float, peer: Any, held: Iterable[tuple[GivenServerT, int]], whole: bool) -> None:
+        """What another proxy holds, as it told it: by server, all of it or what has changed."""
+
     def silent(self, now: float, flow: FlowT, seconds: float) -> None:
         """So long has an established connection brought nothing back for a line that went out."""
 
--- a/brambleplank/net/probes.py
+++ b/brambleplank/net/probes.py
@@ -16,6 +16,7 @@
 
 KEPT = 64  # delays that are remembered of a server
 ENOUGH, SOON = 4, 2  # delays before anything is said; where others are known to compare with
+ALIKE = 1.3  # times what is usual at others of its size that a sound server's usual time may be
 UNLIKE = 2  # times what is usual at others that a sound server's usual time may be, as machines differ
 JITTER, JITTER_AFAR = 0.1, 0.25  # share of a delay that the way alone adds now and then
 LOST_AFTER = 5.0  # seconds; a probe still out by then is not coming back
@@ -56,16 +57,18 @@
     def took(self, probe: Probe, delay: float) -> None:
         delays = reach_of(probe.server).delays
         delays[:] = [*delays[1 - KEPT :], delay]
-        others, near = self.others(probe.server), self.near(probe.server)
+        (others, spread), near = self.others(probe.server), self.near(probe.server)
         if len(delays) < (SOON if near and others else ENOUGH):
             if near:
                 self.measured(probe.server, 0.0)  # nothing to say yet, but other proxies can compare
             return
         usual = self.usual(probe.server)
         if near and others:
-            # Danger: a server that was slow before this proxy began would look usual while it is slow.
-            usual = min(usual, UNLIKE * others)
-        longer = (delay - (1 + (JITTER if near else JITTER_AFAR)) * usual) / (self.work() or usual)
+            # Danger: a server that was slow before this proxy began would look usual while it is slow; one
+            # that hung meanwhile answered at once, and would look slow ever after.
+            usual = max(min(usual, others), others / spread**2)
+        work = usual if near else self.work() or usual
+        longer = (delay - (1 + (JITTER if near else JITTER_AFAR)) * usual) / work
         if longer > 1 / 3 and len(probe.longer) < (1 if near else 2):
             # Danger: one late packet looks like strain. A long delay counts once others confirm it.
             probe.longer.append(longer)
@@ -80,12 +83,13 @@
     def usual(self, server: Server) -> float:
         """A low delay, not the lowest: a hung server answers probes faster than any sound one."""
         delays = sorted(reach_of(server).delays)
-        return delays[len(delays) // 4] if delays else 0.0
+        return delays[len(delays) // (4 if len(delays) >= ENOUGH else 2)] if delays else 0.0
 
     def news_of_usual(self, server: Server) -> float:
         """The usual time, if other proxies do not have it yet; else 0: what all tell, all have to read."""
         usual, told = self.usual(server), reach_of(server).usual_told
-        if not self.near(server) or abs(usual - told) <= JITTER * told:
+        few = len(reach_of(server).delays) < SOON
+        if few or not self.near(server) or abs(usual - told) <= JITTER * told:
             return 0.0
         reach_of(server).usual_told = usual
         return usual
@@ -94,11 +98,19 @@
         """The same as seen from the server's own zone, here or by a proxy there; 0 if not known."""
         return self.usual(server) if self.near(server) else reach_of(server).usual_told
 
-    def others(self, server: Server) -> float:
-        """What is usual at the others; 0 with fewer than two, as either may be the odd one."""
-        ready = self.ready()
-        usual = sorted(known for other in ready if other is not server and (known := self.usual_near(other)))
-        return usual[(len(usual) - 1) // 2] if len(usual) > 1 else 0.0
+    def others(self, server: Server) -> tuple[float, float]:
+        """The most that is usual at a sound one, as the others show, and how far such may lie apart.
+
+        0 with fewer than two to compare with, as either may be the odd one. Danger: where most servers are
+        late, what is usual at most of them is late too. So machines of one size are compared, a low one
+        of them taken; only where there are none, machines that may differ.
+        """
+        ready = [other for other in self.ready() if other is not server]
+        alike = [known for other in ready if other.size == server.size and (known := self.usual_near(other))]
+        if len(alike) > 1:
+            return ALIKE * sorted(alike)[(len(alike) - 1) // 4 or 1], ALIKE
+        usual = sorted(known for other in ready if (known := self.usual_near(other)))
+        return UNLIKE * usual[(len(usual) - 1) // 2] if len(usual) > 1 else 0.0, UNLIKE
 
     def work(self) -> float:
         """What most probes take, at servers that are not strained."""
--- a/brambleplank/net/proxy.py
+++ b/brambleplank/net/proxy.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import traceback
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from types import TracebackType
 
 from brambleplank.decide import Balancer, Flow, Server
@@ -11,7 +11,7 @@
 from brambleplank.net.clock import Clock
 from brambleplank.net.door import Door
 from brambleplank.net.log import Log
-from brambleplank.net.peers import Peers
+from brambleplank.net.peers import Peers, tag_of
 from brambleplank.net.probes import Probes
 from brambleplank.net.reach import Reach, reach_of
 from brambleplank.seams import Client, Connect, Probe, Source
@@ -44,6 +44,7 @@
             lambda probes, server, address: probe(self.door, probes, server, address),
         )
         self.peers: Peers | None = None
+        self.by_tag: dict[int, Server] = {}  # as other proxies name them
         self.serving = self.stopping = False
         self.emptied: Callable[[], None] = lambda: None  # called once a planned stop has emptied it
         self.clients: dict[Client, None] = {}
@@ -170,11 +171,16 @@
 
     # What other proxies say.
 
-    def peer_told(self, server_id: str, seconds: float, usual: float) -> None:
-        if server := self.balancer.servers.get(server_id):
+    def time_told(self, named: int | str, seconds: float, usual: float) -> None:
+        server = self.by_tag.get(named) if isinstance(named, int) else self.balancer.servers.get(named)
+        if server:
             reach_of(server).usual_told = usual or reach_of(server).usual_told
             self.balancer.message_time_told(self.clock.now(), server, seconds)
 
+    def held_told(self, peer: tuple[str, int], held: dict[int, int], whole: bool) -> None:
+        known = [(self.by_tag[tag], count) for tag, count in held.items() if tag in self.by_tag]
+        self.balancer.held_told(self.clock.now(), peer, known, whole)
+
     # What the source says.
 
     def list_told(self, entries: list[Entry], addresses: dict[str, Address], whole: bool) -> None:
@@ -182,6 +188,7 @@
         for server_id, where in addresses.items():
             reach_of(self.balancer.record(now, server_id)).address = where
         self.balancer.list_told(now, entries, whole)
+        self.by_tag = {tag_of(s.points[0]): s for s in self.balancer.servers.values()}
         self.probes.keep_to_ready()
         self.serving = self.serving or bool(self.balancer.ready)
 
@@ -230,7 +237,11 @@
 
     def tell_peers(self, server: Server, seconds: float) -> None:
         if self.peers:
-            self.peers.tell(server.id, seconds, self.probes.news_of_usual(server))
+            self.peers.tell_time(tag_of(server.points[0]), seconds, self.probes.news_of_usual(server))
+
+    def tell_held(self, held: Iterable[tuple[Server, int]], whole: bool) -> None:
+        if self.peers:
+            self.peers.tell_held({tag_of(server.points[0]): count for server, count in held}, whole)
 
     def room(self) -> float:
         return self.door.free()
--- a/brambleplank/wirehost/door.py
+++ b/brambleplank/wirehost/door.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from typing import Any
 
 from brambleplank.decide import Balancer, Flow, Server
@@ -120,6 +120,9 @@
     def tell_peers(self, server: Server, seconds: float) -> None:
         """Never asked for here: the wire tells every proxy."""
 
+    def tell_held(self, held: Iterable[tuple[Server, int]], whole: bool) -> None:
+        """Never asked for here: only proxies that measure tell it."""
+
     def room(self) -> float:
         return 1.0
 
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -12,7 +12,7 @@
 import sys
 import threading
 import time
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Iterable, Iterator
 from contextlib import suppress
 from dataclasses import replace
 from itertools import count
@@ -117,6 +117,9 @@
     def tell_peers(self, server: decide.Server, seconds: float) -> None:
         self.said.append(("tell_peers", (server, seconds)))
 
+    def tell_held(self, held: Iterable[tuple[decide.Server, int]], whole: bool) -> None:
+        self.said.append(("tell_held", ({server.id: count for server, count in held}, whole)))
+
     def room(self) -> float:
         return self.free
 
--- a/tests/test_stories.py
+++ b/tests/test_stories.py
@@ -539,3 +539,58 @@
     for _ in range(3):
         fake.proxy.message_time_told(fake.now, server, TERMS.service_types["feed"].message_target * 0.6)
     assert 4 <= len(fake.asked("move")) <= 12
+
+
+def hear(fake: Fake, peer: str, held: dict[str, int], whole: bool = True) -> None:
+    fake.proxy.held_told(fake.now, peer, [(fake.server(s), count) for s, count in held.items()], whole)
+
+
+def test_an_owner_that_many_proxies_fill_by_a_connection_each_is_passed_over() -> None:
+    fake = Fake(proxies=40, peers=True, measures=True)
+    owner_id = fake.come(group=3).connects[0].server.id
+    others = [s.id for s in fake.proxy.ready if s.id != owner_id]
+    for peer in range(39):  # five servers with 39 in all: "twice the mean plus two" is 18
+        hear(fake, f"n{peer}", {owner_id: 1} if peer < 20 else {others[peer % 4]: 1})
+    assert fake.come(group=3).connects[0].server.id != owner_id
+    for peer in range(8):
+        hear(fake, f"n{peer}", {}, whole=True)  # its teller has started anew, and holds nothing
+    assert fake.come(group=3).connects[0].server.id == owner_id
+
+
+def test_what_a_silent_peer_or_a_server_of_before_held_is_forgotten() -> None:
+    fake = Fake(proxies=3, peers=True, measures=True)
+    hear(fake, "n1", {"10.0.0.1:80": 5})
+    hear(fake, "n2", {"10.0.0.2:80": 5})
+    fake.told({"10.0.0.2:80": Condition.READY}, started=fake.now)
+    assert (fake.server("10.0.0.1:80").others, fake.server("10.0.0.2:80").others) == (5, 0)
+    fake.pass_time(60.0)
+    assert fake.server("10.0.0.1:80").others == 0 and not fake.proxy.peers
+
+
+def test_one_peer_that_lies_of_what_it_holds_does_not_set_aside_a_sound_fleet() -> None:
+    fake = Fake(proxies=40, peers=True, measures=True)
+    for peer in range(39):
+        hear(fake, f"n{peer}", {f"10.0.0.{server}:80": 1 for server in range(5)})
+    owner_id = fake.come(group=3).connects[0].server.id
+    hear(fake, "n0", {f"10.0.0.{server}:80": 255 for server in range(5)})
+    assert fake.come(group=3).connects[0].server.id == owner_id
+    hear(fake, "n0", {owner_id: 255}, whole=True)
+    assert fake.come(group=3).connects[0].server.id == owner_id
+
+
+def test_what_is_held_is_told_when_two_have_changed_and_whole_now_and_then() -> None:
+    fake = Fake(proxies=3, peers=True, measures=True)
+    fake.pass_time(2.0)
+    assert fake.asked("tell_held") == [({}, True)]
+    first = fake.stand(fake.come(group=3))
+    fake.pass_time(2.0)
+    assert len(fake.asked("tell_held")) == 1  # one more is not worth forty readings
+    second = fake.stand(fake.come(group=3))
+    fake.pass_time(2.0)
+    assert fake.asked("tell_held")[1:] == [({first.connects[0].server.id: 2}, False)]
+    for flow in (first, second):
+        fake.end(flow, End.OK, complete=True)
+    fake.pass_time(2.0)
+    assert fake.asked("tell_held")[2:] == [({first.connects[0].server.id: 0}, False)]
+    fake.pass_time(12.0)
+    assert fake.asked("tell_held")[3:] == [({}, True)]
