Where a displaced group stands is told, and its members at other proxies follow it

Seen (placements added up over forty proxies; simulated servers): 38 groups on fourteen servers stood on 71 pairs of group and server before the release and on 160 after it, each pair paid for with two connections' work; from then on nothing moved and a third of the value was served.

A displaced group's home (decide.py, Balancer.homes) was each proxy's own, so each found another one; and the coin for returned flows, meant for proxies that are told nothing, scattered them although all are told by now.

A home that is neither told nor the first ready server round the ring is told, a sixteenth of a second after it was found at most and only if nobody else has; the coin is for proxies that hear of nobody.

--- a/brambleplank/decide.py
+++ b/brambleplank/decide.py
@@ -34,6 +34,7 @@
 RELIEF = 1 / 3  # share of its own on a slow server that a proxy moves a telling, on average
 ROOM_KEPT = 1 / 8  # share of the descriptors that is left to final answers and the list
 WHOLE_EVERY = 12  # tellings of what is held, of which one is whole
+SPOT_CUT, MOST_HOMES = 96, 4096  # bits of a group's place that are not told; how many told homes are kept
 MOST_TOLD = 255  # connections on a server that are told of
 TRICKLE_FULL = 8  # connects in a row that went well, doubling from one, before a server is trusted again
 
@@ -82,8 +83,10 @@
     """A client's connection, from its arrival to its end."""
 
     def __init__(
-        self, handle: Any, kind: ServiceType, spot: int, give_up_at: float, midflow: bool, returned: bool
+        self, handle: Any, kind: ServiceType, spot: int, grouped: bool, give_up_at: float, midflow: bool,
+        returned: bool,
     ) -> None:
+        self.grouped = grouped
         self.handle, self.service_type, self.spot = handle, kind, spot
         self.give_up_at, self.midflow, self.returned = give_up_at, midflow, returned
         self.connects: list[Connect] = []
@@ -279,7 +282,7 @@
             return 0
         if now < server.dropping_until or (now < server.late_until and self.short(now)):
             return HARMFUL
-        if now < server.slow_until or server.held or not flow.returned:
+        if now < server.slow_until or server.held or not flow.returned or self.balancer.peers:
             return SLOW if now < server.slow_until else 0
         # Danger: another proxy broke or moved it for a reason that this one, with nothing there, is not told.
         # Its owner and small servers are the likeliest cause; of few proxies it may as well be that one died.
@@ -411,7 +414,7 @@
 
     def onward(self, now: float, flow: Flow) -> bool:
         target, least, self.usual = None, HARMFUL, self.balancer.usual()
-        home = self.balancer.homes.get(flow.spot)
+        home = self.balancer.home(now, flow.spot)
         steps = self.balancer.strain.reach(now, flow)
         for server in chain([home] if home else [], self.round(flow.spot)):
             if any(forbids(now, flow, server) for forbids in self.forbid):
@@ -515,12 +518,15 @@
         self.peers: dict[Any, float] = {}  # proxies that told what they hold, and when
         self.told_of: dict[Server, int] = {}  # what this one told, and when it tells all again
         self.whole_at = 0.0
+        self.shares = terms.measures and terms.peers  # whether proxies tell each other what they hold
         self.begun = -1.0  # when the first list came
         self.served, self.served_at = 0.0, 0.0  # ends that were well, fading over the time servers warm
         self.failures, self.stop_at = 0, inf  # calls for the list that failed in a row; end of a planned stop
         self.shortest_message = min(kind.message_target for kind in terms.service_types.values())
         self.ring = Ring(self)
         self.homes: dict[int, Server] = {}  # where displaced groups went, by their place on the ring
+        self.untold: dict[int, Server] = {}  # new ones that are told soon, if no other proxy tells them first
+        self.homes_told: dict[int, tuple[Server, float]] = {}  # as other proxies say, and until when it holds
         self.members: dict[int, int] = {}  # established flows of each group here
         self.promise, self.cold, self.strain, self.gate = Promise(self), Cold(self), Strain(self), Gate(self)
         self.chain: list[Stage] = [
@@ -537,7 +543,7 @@
         name = b"group %d" % group if group is not None else b"key %d" % key if key is not None else b""
         spot = place_on_ring(name) if name else self.rng.getrandbits(128)
         kind = self.terms.service_types[service_type]
-        flow = Flow(handle, kind, spot, min(give_up_at, self.stop_at), midflow, returned)
+        flow = Flow(handle, kind, spot, group is not None, min(give_up_at, self.stop_at), midflow, returned)
         if server is None:
             self.place(now, flow)
         else:
@@ -563,17 +569,21 @@
         each is a crowd. What is told is read by all, so it is told seldom, and whole now and then, as it may
         be lost, or its teller start anew.
         """
+        self.tell_changes(now, 2)
+        for peer in [p for p, at in self.peers.items() if now > at + 3 * WHOLE_EVERY * NEWS_PERIOD]:
+            self.forget(peer)
+            del self.peers[peer]
+        self.host.alarm(NEWS_PERIOD * self.rng.uniform(0.75, 1.25), self.tell_held)
+
+    def tell_changes(self, now: float, least: int) -> None:
+        """Also with whatever else is told, since it costs little beside it."""
         whole = now >= self.whole_at
         held = {s: min(s.held, MOST_TOLD) for s in self.ready if s.held or (s in self.told_of and not whole)}
         changes = {s: n for s, n in held.items() if n != self.told_of.get(s, 0)}
-        if whole or sum(abs(n - self.told_of.get(s, 0)) for s, n in changes.items()) > 1:
+        if whole or sum(abs(n - self.told_of.get(s, 0)) for s, n in changes.items()) >= least:
             self.host.tell_held([(s, n) for s, n in (held if whole else changes).items()], whole)
             self.told_of = held
             self.whole_at = now + WHOLE_EVERY * NEWS_PERIOD if whole else self.whole_at
-        for peer in [p for p, at in self.peers.items() if now > at + 3 * WHOLE_EVERY * NEWS_PERIOD]:
-            self.forget(peer)
-            del self.peers[peer]
-        self.host.alarm(NEWS_PERIOD * self.rng.uniform(0.75, 1.25), self.tell_held)
 
     def held_told(self, now: float, peer: Any, held: Iterable[tuple[Server, int]], whole: bool) -> None:
         self.peers[peer] = now
@@ -661,13 +671,45 @@
 
     def settle(self, now: float, connect: Connect) -> None:
         connect.established = True
-        self.members[connect.flow.spot] = self.members.get(connect.flow.spot, 0) + 1
-        if connect.server is not self.ring.owner(connect.flow.spot):
-            self.homes[connect.flow.spot] = connect.server
-        connect.server.groups.setdefault(connect.flow.spot, {})[connect.flow] = None
+        spot, server = connect.flow.spot, connect.server
+        self.members[spot] = self.members.get(spot, 0) + 1
+        if server is not self.ring.owner(spot):
+            self.homes[spot] = server
+            if connect.flow.grouped and self.shares:
+                told = self.home_told_of(now, spot)
+                usual = (s for s in self.ring.round(spot) if s.condition is Condition.READY)
+                if server is not (told or next(usual, None)):
+                    if not self.untold:
+                        self.host.alarm(NEWS_PERIOD / 16 * self.rng.random(), self.tell_homes)
+                    self.untold[spot] = server
+        server.groups.setdefault(spot, {})[connect.flow] = None
         if self.stop_at < inf:
             self.dismiss(now, connect.flow)
 
+    def tell_homes(self, now: float) -> None:
+        homes = {spot: s for spot, s in self.untold.items() if self.home_told_of(now, spot) is not s}
+        self.untold = {}
+        for spot, server in homes.items():
+            self.home_told(now, spot, server)
+        if homes:
+            self.host.tell_homes(list(homes.items()))
+            self.tell_changes(now, 1)
+
+    def home_told(self, now: float, spot: int, server: Server) -> None:
+        """Another proxy found a home for a displaced group, whose place on the ring is told in four bytes."""
+        self.homes_told.pop(spot >> SPOT_CUT, None)
+        self.homes_told[spot >> SPOT_CUT] = server, now + self.terms.ramp_time
+        if len(self.homes_told) > MOST_HOMES:
+            del self.homes_told[next(iter(self.homes_told))]
+
+    def home_told_of(self, now: float, spot: int) -> Server | None:
+        server, until = self.homes_told.get(spot >> SPOT_CUT, (None, 0.0))
+        return server if server and now < until and server.condition is Condition.READY else None
+
+    def home(self, now: float, spot: int) -> Server | None:
+        """Danger: each proxy finds a displaced group a home of its own, and every one pays for the group."""
+        return self.home_told_of(now, spot) or self.homes.get(spot)
+
     def leave(self, flow: Flow) -> None:
         """The flow's connection no longer counts for its group."""
         groups = flow.connects[-1].server.groups
@@ -705,6 +747,7 @@
             unsaid = now >= server.told_at + 2 * NEWS_PERIOD
             if self.terms.peers and (server.zone == self.terms.zone or server.slow_until > now or unsaid):
                 self.host.tell_peers(server, seconds)
+                self.tell_changes(now, 1)
         else:
             # Danger: all proxies of a zone that probe a server at once wait behind each other there, and call
             # that strain. Whoever measured it last goes on; the others are ready for its silence.
@@ -727,7 +770,7 @@
             self.begun = self.served_at = now
             if self.terms.measures:
                 self.host.alarm(NEWS_PERIOD * self.rng.random(), self.measure)
-            if self.terms.measures and self.terms.peers:
+            if self.shares:
                 self.host.alarm(NEWS_PERIOD * self.rng.random(), self.tell_held)
             if not self.terms.push:
                 self.host.follow_list()
--- a/brambleplank/host.py
+++ b/brambleplank/host.py
@@ -123,6 +123,9 @@
     def tell_held(self, held: Iterable[tuple[GivenServerT, int]], whole: bool) -> None:
         """Tell all other proxies how many connections stand here, by server; whole: none anywhere else."""
 
+    def tell_homes(self, homes: Iterable[tuple[int, GivenServerT]]) -> None:
+        """Tell all other proxies where displaced groups stand now, by their places on the ring."""
+
     def room(self) -> float:
         """The share of this proxy's descriptors that is free; 1 where none are counted."""
 
@@ -170,6 +173,9 @@
     def held_told(self, now: float, peer: Any, held: Iterable[tuple[GivenServerT, int]], whole: bool) -> None:
         """What another proxy holds, as it told it: by server, all of it or what has changed."""
 
+    def home_told(self, now: float, spot: int, server: GivenServerT) -> None:
+        """Where a displaced group stands, as another proxy says; of the spot, its first four bytes count."""
+
     def silent(self, now: float, flow: FlowT, seconds: float) -> None:
         """So long has an established connection brought nothing back for a line that went out."""
 
--- a/brambleplank/net/proxy.py
+++ b/brambleplank/net/proxy.py
@@ -181,6 +181,10 @@
         known = [(self.by_tag[tag], count) for tag, count in held.items() if tag in self.by_tag]
         self.balancer.held_told(self.clock.now(), peer, known, whole)
 
+    def home_told(self, spot: int, tag: int) -> None:
+        if tag in self.by_tag:
+            self.balancer.home_told(self.clock.now(), spot, self.by_tag[tag])
+
     # What the source says.
 
     def list_told(self, entries: list[Entry], addresses: dict[str, Address], whole: bool) -> None:
@@ -243,6 +247,10 @@
         if self.peers:
             self.peers.tell_held({tag_of(server.points[0]): count for server, count in held}, whole)
 
+    def tell_homes(self, homes: Iterable[tuple[int, Server]]) -> None:
+        if self.peers:
+            self.peers.tell_homes({spot: tag_of(server.points[0]) for spot, server in homes})
+
     def room(self) -> float:
         return self.door.free()
 
--- a/brambleplank/platform/run.py
+++ b/brambleplank/platform/run.py
@@ -32,7 +32,10 @@
         proxy.emptied = reactor.stop
         self.discovery = proxy.source = Discovery(proxy, told.discovery)
         if told.peer_listen:
-            proxy.peers = Peers(proxy.time_told, proxy.held_told, told.peers_all, told.peers)
+            proxy.peers = Peers(
+                lambda call: clock.later(0, call), proxy.time_told, proxy.held_told, proxy.home_told,
+                told.peers_all, told.peers,
+            )
             reactor.listenUDP(told.peer_listen[1], proxy.peers, interface=told.peer_listen[0])
         self.discovery.begin(told.known)
 
--- a/brambleplank/wirehost/door.py
+++ b/brambleplank/wirehost/door.py
@@ -123,6 +123,9 @@
     def tell_held(self, held: Iterable[tuple[Server, int]], whole: bool) -> None:
         """Never asked for here: only proxies that measure tell it."""
 
+    def tell_homes(self, homes: Iterable[tuple[int, Server]]) -> None:
+        """Never asked for here, for the same reason."""
+
     def room(self) -> float:
         return 1.0
 
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -120,6 +120,9 @@
     def tell_held(self, held: Iterable[tuple[decide.Server, int]], whole: bool) -> None:
         self.said.append(("tell_held", ({server.id: count for server, count in held}, whole)))
 
+    def tell_homes(self, homes: Iterable[tuple[int, decide.Server]]) -> None:
+        self.said.append(("tell_homes", [(spot, server.id) for spot, server in homes]))
+
     def room(self) -> float:
         return self.free
 
--- a/tests/test_stories.py
+++ b/tests/test_stories.py
@@ -594,3 +594,41 @@
     assert fake.asked("tell_held")[2:] == [({first.connects[0].server.id: 0}, False)]
     fake.pass_time(12.0)
     assert fake.asked("tell_held")[3:] == [({}, True)]
+
+
+def test_a_displaced_groups_home_is_told_and_its_members_at_other_proxies_follow_it_there() -> None:
+    one, other = (Fake(proxies=40, number=n, seed=n, peers=True, measures=True) for n in (1, 2))
+    flow = one.come(group=3)
+    first = flow.connects[0].server
+    one.end(flow, End.UNREACHABLE)
+    home = one.stand(flow).connects[1].server
+    one.pass_time(0.1)
+    (spot, told), = one.asked("tell_homes")[0]
+    assert told == home.id != first.id and spot == flow.spot
+    other.proxy.home_told(other.now, spot >> 96 << 96, other.server(told))
+    follower = other.stand(other.come(group=3))
+    assert follower.connects[0].server.id == told
+    other.pass_time(0.1)
+    assert other.asked("tell_homes") == []  # what all know already
+    other.told({told: Condition.DRAINING})
+    assert other.come(group=3).connects[0].server.id == first.id
+    other.told({told: Condition.READY})
+    other.pass_time(TERMS.ramp_time + 1)
+    assert other.come(group=77).connects[0].server.id != "" and not other.proxy.home_told_of(other.now, spot)
+
+
+def test_a_home_that_another_proxy_tells_meanwhile_is_not_told_again() -> None:
+    fake = Fake(proxies=40, peers=True, measures=True)
+    flow = fake.come(group=3)
+    fake.end(flow, End.UNREACHABLE)
+    home = fake.stand(flow).connects[1].server
+    fake.proxy.home_told(fake.now, flow.spot, home)
+    fake.pass_time(1.0)
+    assert fake.asked("tell_homes") == []
+
+
+def test_homes_that_are_told_are_kept_within_bounds() -> None:
+    fake = Fake(proxies=40, peers=True, measures=True)
+    for spot in range(5000):
+        fake.proxy.home_told(fake.now, spot << 96, fake.proxy.ready[0])
+    assert len(fake.proxy.homes_told) == 4096 and fake.proxy.home_told_of(fake.now, 4999 << 96)
