--- a/tests/test_stories.py
+++ b/tests/test_stories.py
@@ -678,3 +678,27 @@
     for spot in range(5000):
         fake.proxy.home_told(fake.now, spot << 96, fake.proxy.ready[0])
     assert len(fake.proxy.homes_told) == 4096 and fake.proxy.home_told_of(fake.now, 4999 << 96)
+
+
+def test_most_of_a_fleet_that_starts_anew_while_discovery_refuses_serves_and_does_not_ask_in_step() -> None:
+    asked: Counter[float] = Counter()
+    for number in range(28):
+        fake = Fake(proxies=40, number=number, seed=number, push=False, peers=True, measures=True)
+        assert fake.come_and_stand()  # on the list that it was last told
+        before = len(fake.asked("follow_list"))
+        fake.proxy.list_failed(fake.now)
+        while len(fake.asked("follow_list")) == before:
+            fake.pass_time(0.01)
+        asked[round(fake.now, 1)] += 1
+    assert max(asked.values()) <= 28 / 3
+
+
+def test_a_list_that_is_old_at_the_start_keeps_its_drains_and_cold_starts() -> None:
+    fake = Fake(proxies=3)
+    fake.told({"10.0.0.1:80": Condition.DRAINING})
+    fake.told({"10.0.0.2:80": Condition.READY}, started=fake.now - 1)
+    placed = Counter(fake.stand(fake.come(group=key)).connects[0].server.id for key in range(60))
+    assert not placed["10.0.0.1:80"] and placed["10.0.0.2:80"] <= 2
+    fake.told({f"10.0.0.{i}:80": Condition.READY for i in (0, 2, 3)}, whole=True)  # it comes: one has gone
+    placed = Counter(fake.come(group=key).connects[0].server.id for key in range(60, 120))
+    assert set(placed) <= {"10.0.0.0:80", "10.0.0.2:80", "10.0.0.3:80"}
