--- a/brambleplank/net/peers.py
+++ b/brambleplank/net/peers.py
@@ -22,6 +22,8 @@
 
 from twisted.internet.protocol import DatagramProtocol
 
+from brambleplank.decide import SPOT_CUT
+
 LONGEST = 256
 FORM = 1
 CHANGED, WHOLE, TIME, TIME_AND_USUAL, HOME = 1, 2, 3, 4, 5
@@ -29,7 +31,6 @@
 MOST_ENTRIES = 31  # of a section
 MOST_UNSENT = 1024  # entries that wait for the end of the reactor's turn
 MS, FINE = 1000, 100_000  # units in a second
-SPOT_CUT = 96  # bits of a place that are not told
 MOST = 0xFFFF
 
 
@@ -83,6 +84,7 @@
     def put(self, kind: int, entry: bytes) -> None:
         if not self.unsent:
             self.soon(self.send)
+        # Danger: a turn that tells without end would hold all memory; what is told changes soon again.
         if len(self.unsent) < MOST_UNSENT:
             self.unsent.append((kind, entry))
 
