Operators' calls over HTTP: ready, a server out and back, drain and resume

Change: fronts/management answers by Twisted's HTTP channel; rotation.py keeps the operators' word and lays it over each list, so a server that is out is draining to the decisions; Balancer.stop can be taken back, and one server can be emptied.

--- a/brambleplank/decide.py
+++ b/brambleplank/decide.py
@@ -1,7 +1,7 @@
 """Every decision of brambleplank, for one proxy.
 
-A host makes one `Balancer` for each proxy and calls `flow`, `established`, `connect_ended` and their kin; the
-balancer answers through the `Host` it was given. Both sides of that interface are in `brambleplank/host.py`.
+A host makes one `Balancer` for each proxy and calls it; the balancer answers through the `Host` it was given
+(`brambleplank/host.py`).
 
 A flow runs down a chain of small stages: `Promise` (one answer in time), `Ring` (whom it belongs to), `Gate`
 (how many connects may be out), `Launch` (the connect). Those between forbid servers where a rule is at stake,
@@ -20,7 +20,7 @@
 from random import Random
 from typing import Any
 
-from brambleplank.host import Condition, Effect, End, Host, ServiceType, Terms
+from brambleplank.host import Condition, Effect, End, Entry, Host, ServiceType, Terms
 
 POINTS = 63  # as in the paper's tests
 BOUND_FACTOR, BOUND_SPARE = 2, 2  # an owner is full at twice the mean count plus two
@@ -52,6 +52,7 @@
         self.points = [place_on_ring(b"%b#%d" % (server_id.encode(), i)) for i in range(POINTS)]
         self.zone, self.cell, self.size, self.condition = "", 0, 1.0, Condition.GONE
         self.unready_since = now  # when the list told this proxy that it drains or is gone
+        self.empty_by = inf  # when all that stands there has to be moved
         self.held = 0  # connects sent, or told open at the start, that have not ended
         self.elsewhere: dict[Any, int] = {}  # the same at other proxies, as each last told
         self.others = 0  # their sum
@@ -183,8 +184,7 @@
     """Lets a server that has just started have only this proxy's own share of its budget.
 
     Danger: connections placed at once, by proxies that know nothing of each other, push it over. So its
-    budget is cut into tickets, dealt out by the server's points: all proxies deal alike, and nobody has to
-    say anything. With a whole turn for each, most of a large fleet had none before it was warm.
+    budget is cut into tickets, dealt out by its points: all proxies deal alike, and need not say anything.
     """
 
     def forbids(self, now: float, flow: Flow, server: Server) -> bool:
@@ -192,9 +192,9 @@
             return False
         slot = self.slot(now, server)
         budget, trying = self.budget(now, server)
-        if self.balancer.shares and server.cold_sent + server.cold_others >= TOLD_MORE * budget:
+        if self.terms.shares and server.cold_sent + server.cold_others >= TOLD_MORE * budget:
             return True
-        budget = max(budget, trying) if self.balancer.shares else budget
+        budget = max(budget, trying) if self.terms.shares else budget
         place = (self.terms.number + server.points[slot % POINTS]) % self.terms.proxies
         return server.cold_sent >= ceil((budget - place) / self.terms.proxies)
 
@@ -236,7 +236,7 @@
         """How unusual the present silence is: minus the logarithm of the share of gaps that outlast it."""
         oldest = next(iter(server.waiting), None)
         silence = server.silence + (now - oldest.sent if oldest else 0.0)
-        return 0.4343 * silence / max(server.gap, self.balancer.gap, self.balancer.floor)
+        return 0.4343 * silence / max(server.gap, self.balancer.gap, self.terms.shortest_setup / 4)
 
     def watch(self, now: float, server: Server) -> None:
         if server.trickle == 0 and self.unusual(now, server) > TOO_UNUSUAL:
@@ -246,7 +246,7 @@
         first, ready = server.trickle == 0, self.balancer.ready
         if first and 2 * sum(s.trickle > 0 for s in ready) >= len(ready):
             return  # Danger: if most look ill the cause is shared, and setting all aside helps nobody.
-        server.pause = self.balancer.floor * 4 if first else min(2 * server.pause, self.terms.ramp_time)
+        server.pause = self.terms.shortest_setup if first else min(2 * server.pause, self.terms.ramp_time)
         server.trickle, server.silence = 1, 0.0
         server.retry_at = now + server.pause * self.balancer.rng.uniform(0.75, 1.25)
         if first:
@@ -298,10 +298,10 @@
         return SLOW if self.balancer.rng.random() < likely * others else 0
 
     def slow(self, now: float, server: Server, seconds: float) -> None:
-        if seconds > self.balancer.shortest_message / 3:
+        if seconds > self.terms.shortest_message / 3:
             server.slow_until = now + 3 * NEWS_PERIOD * self.balancer.sparse()
-            server.late_until = server.slow_until if seconds > self.balancer.shortest_message else now
-            self.relieve(now, server, seconds / self.balancer.shortest_message)
+            server.late_until = server.slow_until if seconds > self.terms.shortest_message else now
+            self.relieve(now, server, seconds / self.terms.shortest_message)
         else:
             server.slow_until, server.late_until = min(now, server.slow_until), min(now, server.late_until)
 
@@ -327,17 +327,16 @@
         return 1 + self.balancer.members.get(flow.spot, 0) // max(1.0, self.balancer.mean())
 
     def relieve(self, now: float, server: Server, lateness: float) -> None:
-        """Moves the smallest group there to where the ring now sends it; of a large one, part of the excess.
-
-        Danger: a server with too much stays slow while its connections live. A small group takes the work it
-        shares with it; of a large one, what is over the server's share by size pays for doubling that work.
-        """
+        """Moves the smallest group there to where the ring sends it; of a large one, part of the excess."""
+        # Danger: a server with too much stays slow while its connections live. A small group takes the work
+        # it shares with it; of a large one, what is over its share by size pays for doubling that work.
         if not server.groups or (self.short(now) and lateness <= 1):
             return  # Danger: a fleet short of room only chases its groups from server to server.
         smallest = min(server.groups, key=lambda spot: (len(server.groups[spot]), spot))
         flows = list(server.groups[smallest])
         if len(flows) > self.balancer.mean() / 2 + 1:
-            most = max(int(RELIEF * (server.held - self.balancer.share(server))), lateness > 1)
+            share = self.balancer.mean() * server.size / self.balancer.usual_size
+            most = max(int(RELIEF * (server.held - share)), lateness > 1)
             flows = flows[-most:] if most else []
         if self.balancer.rng.random() * len(flows) > RELIEF * min(1.0, lateness) * server.held:
             return  # Danger: hundreds of proxies with a connection each there empty it in one second.
@@ -521,14 +520,11 @@
         self.able: list[Server] = []  # those of them that are warm
         self.held, self.usual_size = 0, 1.0  # connections on ready servers; the mean of these servers' sizes
         self.gap, self.margin = 0.0, 2 * terms.tick  # usual time to an answer, over the fleet; a spare
-        self.floor = min(kind.setup_target for kind in terms.service_types.values()) / 4
         self.peers: dict[Any, float] = {}  # proxies that told what they hold, and when
         self.told_of: dict[Server, int] = {}  # what this one told
-        self.shares = terms.measures and terms.peers  # whether proxies tell each other what they hold
         self.begun, self.whole_at = -1.0, 0.0  # when the first list came; when it tells all it holds again
         self.served, self.served_at = 0.0, 0.0  # ends that were well, fading over the time servers warm
         self.failures, self.stop_at = 0, inf  # calls for the list that failed in a row; end of a planned stop
-        self.shortest_message = min(kind.message_target for kind in terms.service_types.values())
         self.ring = Ring(self)
         self.homes: dict[int, Server] = {}  # where displaced groups went, by their place on the ring
         self.untold: dict[int, Server] = {}  # new ones that are told soon, if no other proxy tells them first
@@ -561,19 +557,15 @@
     def mean(self) -> float:
         return self.held / max(1, len(self.able))
 
-    def share(self, server: Server) -> float:
-        return self.mean() * server.size / self.usual_size
-
     def usual(self) -> float:
         """The mean count on warm servers, of this proxy and all that have told theirs."""
         return (self.held + sum(s.others for s in self.able)) / max(1, len(self.able))
 
     def tell_held(self, now: float) -> None:
-        """Tells the other proxies what has changed here, when more than one connection has.
+        """Tells the other proxies what has changed here; seldom, as all read it, and whole now and then.
 
         Danger: where each of many holds a few connections, nobody sees a server fill up, and "plus two" of
-        each is a crowd. What is told is read by all, so it is told seldom, and whole now and then, as it may
-        be lost, or its teller start anew.
+        each is a crowd. What is told may be lost, or its teller start anew.
         """
         self.tell_changes(now, 2)
         for peer in [p for p, at in self.peers.items() if now > at + 3 * WHOLE_EVERY * NEWS_PERIOD]:
@@ -613,10 +605,8 @@
         self.able = [s for s in self.ready if not self.cold.cold(now, s)] or self.ready
 
     def measure(self, now: float) -> None:
-        """Probes this zone's servers; from afar a probe's delay says less, so only for want of another.
-
-        Danger: where nobody tells how long messages take, a server with too much looks like any other.
-        """
+        """Probes this zone's servers; from afar a probe's delay says less, so only for want of another."""
+        # Danger: where nobody tells how long messages take, a server with too much looks like any other.
         for server in self.ready:
             # Danger: where no proxy of its zone speaks of a server, nobody would see it strained.
             silent = now - max(server.told_at, self.begun) > NEWS_PERIOD * self.rng.uniform(4, 8)
@@ -653,16 +643,31 @@
         """A planned stop: all that stands here, or soon will, is moved one by one while others take it up."""
         self.stop_at = now + self.terms.leave_within
         for server in self.servers.values():
-            for flow in chain.from_iterable(server.groups.values()):
-                self.dismiss(now, flow)
+            self.dismiss(now, *chain.from_iterable(server.groups.values()))
             for connect in server.waiting:  # Danger: who waits longer than this proxy runs gets no answer.
                 self.host.alarm(self.terms.leave_within, partial(self.promise.expire, flow=connect.flow))
 
-    def dismiss(self, now: float, flow: Flow) -> None:
+    def resume(self, now: float) -> None:
+        self.stop_at = inf
+
+    def empty(self, now: float, server: Server) -> None:
+        server.empty_by = now + self.terms.leave_within
+        self.dismiss(now, *chain.from_iterable(server.groups.values()))
+
+    def due(self, flow: Flow) -> float:
+        """When it has to be moved."""
+        return min(self.stop_at, flow.connects[-1].server.empty_by)
+
+    def dismiss(self, now: float, *flows: Flow) -> None:
         # Danger: moved in one instant, they all stand before the other proxies and the servers at once; moved
         # early, they come while the others are still down themselves. Until then they are served here.
-        wait = self.stop_at - self.terms.leave_within * self.rng.uniform(0.0, LAST_PART) - now
-        self.host.alarm(max(0.0, wait), lambda at: self.send_off(flow))
+        for flow in flows:
+            wait = self.due(flow) - self.terms.leave_within * self.rng.uniform(0.0, LAST_PART) - now
+            self.host.alarm(max(0.0, wait), partial(self.let_go, flow))
+
+    def let_go(self, flow: Flow, now: float) -> None:
+        if self.due(flow) < inf:
+            self.send_off(flow)
 
     def send_off(self, flow: Flow) -> None:
         self.host.move(flow)
@@ -680,17 +685,17 @@
         self.members[spot] = self.members.get(spot, 0) + 1
         if server is not self.ring.owner(spot):
             self.homes[spot] = server
-            if connect.flow.grouped and self.shares:
+            if connect.flow.grouped and self.terms.shares:
                 told = self.home_told_of(now, spot)
                 usual = (s for s in self.ring.round(spot) if s.condition is Condition.READY)
                 if server is not (told or next(usual, None)):
                     if not self.untold:
                         self.host.alarm(NEWS_PERIOD / 16 * self.rng.random(), self.tell_homes)
                     self.untold[spot] = server
-        if self.shares and self.cold.cold(now, server):
+        if self.terms.shares and self.cold.cold(now, server):
             self.tell_changes(now, 1)
         server.groups.setdefault(spot, {})[connect.flow] = None
-        if self.stop_at < inf:
+        if self.due(connect.flow) < inf:
             self.dismiss(now, connect.flow)
 
     def tell_homes(self, now: float) -> None:
@@ -767,17 +772,12 @@
             flow.connects[-1].server.dropping_until = now + self.terms.fall_time
             self.send_off(flow)
 
-    def load_told(self, now: float, flow: Flow, number: int, load: float) -> None:
-        """Not used: moving the heaviest first did worse than the latest."""
-
-    def list_told(
-        self, now: float, entries: list[tuple[str, str, int, Condition, float, float]], whole: bool
-    ) -> None:
+    def list_told(self, now: float, entries: list[Entry], whole: bool) -> None:
         if self.begun < 0:
             self.begun = self.served_at = now
             if self.terms.measures:
                 self.host.alarm(NEWS_PERIOD * self.rng.random(), self.measure)
-            if self.shares:
+            if self.terms.shares:
                 self.host.alarm(NEWS_PERIOD * self.rng.random(), self.tell_held)
             if not self.terms.push:
                 self.host.follow_list()
@@ -804,6 +804,7 @@
     def turn(self, now: float, server: Server, condition: Condition) -> None:
         if server.condition is Condition.READY and condition is not Condition.READY:
             server.unready_since = now
+        server.empty_by = inf if condition is Condition.READY else server.empty_by
         server.condition = condition
 
     def list_failed(self, now: float) -> None:
--- a/brambleplank/fronts/line/connects.py
+++ b/brambleplank/fronts/line/connects.py
@@ -132,18 +132,10 @@
 
     def established_line(self, line: bytes) -> None:
         self.last = line
-        if line.startswith(b"LOAD "):
-            self.load(line[5:])
-        else:
+        if not line.startswith(b"LOAD "):
             self.asked = 0.0
         self.client.sendLine(line)
 
-    def load(self, told: bytes) -> None:
-        try:
-            self.proxy.load_told(self, float(told))
-        except ValueError:
-            return
-
     def code(self, end: End) -> str:
         if end is End.ERROR and self.last != b"ERR":
             return "unread"
--- a/brambleplank/host.py
+++ b/brambleplank/host.py
@@ -11,6 +11,7 @@
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 from enum import Enum
+from functools import cached_property
 from typing import Any, Protocol, TypeVar
 
 FlowT = TypeVar("FlowT")  # the records of the decisions, which this file does not know
@@ -88,10 +89,24 @@
     measures: bool  # whether message times are to be had by probes, as nobody tells them
     peers: bool  # whether proxies may speak to one another
     groups: bool  # whether a flow names the group that it shares work with
-    tells_load: bool
     service_types: dict[str, ServiceType]
     tenants: frozenset[str]  # by name; none at sites without
 
+    @cached_property
+    def shortest_setup(self) -> float:
+        """The shortest setup target of a service type."""
+        return min(kind.setup_target for kind in self.service_types.values())
+
+    @cached_property
+    def shortest_message(self) -> float:
+        """The shortest that a service type wants messages to take."""
+        return min(kind.message_target for kind in self.service_types.values())
+
+    @cached_property
+    def shares(self) -> bool:
+        """Whether proxies tell each other what they hold."""
+        return self.measures and self.peers
+
 
 class Host(Protocol[GivenFlowT, GivenServerT]):
     """Calls out: what the balancer asks its host to do."""
@@ -159,9 +174,6 @@
     def lapsed(self, now: float, flow: FlowT) -> None:
         """The client has left."""
 
-    def load_told(self, now: float, flow: FlowT, number: int, load: float) -> None:
-        """The connection's load now, in seconds of work a second."""
-
     def message_time_told(
         self, now: float, server: GivenServerT, seconds: float, measured: bool = False
     ) -> None:
@@ -180,7 +192,13 @@
         """So long has an established connection brought nothing back for a line that went out."""
 
     def stop(self, now: float) -> None:
-        """A planned stop is near: empty this proxy."""
+        """A planned stop is near, or this proxy is drained: empty it."""
+
+    def resume(self, now: float) -> None:
+        """The drain is over, or the stop called off: what has not been moved yet stays."""
+
+    def empty(self, now: float, server: GivenServerT) -> None:
+        """Move what stands at this server, until the list calls it ready again."""
 
     def list_told(
         self, now: float, entries: list[Entry], whole: bool
--- a/brambleplank/net/probes.py
+++ b/brambleplank/net/probes.py
@@ -30,7 +30,6 @@
         measured: Callable[[Server, float], None], begin: Callable[[Probes, Server, Address], Probe],
     ) -> None:
         self.clock, self.terms, self.ready, self.measured, self.begin = clock, terms, ready, measured, begin
-        self.shortest = min(kind.message_target for kind in terms.service_types.values())
         self.open: dict[Server, Probe] = {}
 
     def send(self, server: Server) -> None:
@@ -75,7 +74,7 @@
             probe.ask()
             return
         share, probe.longer = min([longer, *probe.longer]), []
-        self.measured(probe.server, share * self.shortest)
+        self.measured(probe.server, share * self.terms.shortest_message)
 
     def near(self, server: Server) -> bool:
         return server.zone == self.terms.zone
--- a/brambleplank/net/proxy.py
+++ b/brambleplank/net/proxy.py
@@ -14,6 +14,7 @@
 from brambleplank.net.peers import Peers, tag_of
 from brambleplank.net.probes import Probes
 from brambleplank.net.reach import Reach, reach_of
+from brambleplank.rotation import Rotation
 from brambleplank.seams import Client, Connect, Probe, Source
 
 LOOK = 0.1  # seconds between two looks
@@ -45,14 +46,14 @@
         )
         self.peers: Peers | None = None
         self.by_tag: dict[int, Server] = {}  # as other proxies name them
-        self.serving = self.stopping = False
+        self.rotation = Rotation()
+        self.serving = self.stopping = self.draining = False
         self.emptied: Callable[[], None] = lambda: None  # called once a planned stop has emptied it
         self.clients: dict[Client, None] = {}
-        self.shortest = min(kind.message_target for kind in terms.service_types.values())
         clock.later(LOOK, self.look)
 
     def takes_flows(self) -> bool:
-        return self.serving and not self.stopping
+        return self.serving and not self.stopping and not self.draining
 
     # What clients say.
 
@@ -137,10 +138,6 @@
                 now, client.flow, connect.number, end, now - connect.sent, bool(client.done)
             )
 
-    def load_told(self, connect: Connect, load: float) -> None:
-        if self.terms.tells_load and connect.client.flow:
-            self.balancer.load_told(self.clock.now(), connect.client.flow, connect.number, load)
-
     def look(self) -> None:
         """Tells of connections that bring nothing back, and of their servers."""
         self.clock.later(LOOK, self.look)
@@ -155,7 +152,7 @@
         for server in list(self.balancer.servers.values()):
             reach: Reach = reach_of(server)
             reach.waiting = longest.get(reach, 0.0)
-            due = reach.waiting > self.shortest / 3 or (reach.told_long and not reach.delays)
+            due = reach.waiting > self.terms.shortest_message / 3 or (reach.told_long and not reach.delays)
             if due and now >= reach.told_at + TELLING:
                 self.measured(server, 0.0)
 
@@ -166,7 +163,7 @@
         """
         reach, now = reach_of(server), self.clock.now()
         seconds = max(seconds, reach.waiting)
-        reach.told_long, reach.told_at = seconds > self.shortest / 3, now
+        reach.told_long, reach.told_at = seconds > self.terms.shortest_message / 3, now
         self.balancer.message_time_told(now, server, max(0.0, seconds), measured=True)
 
     # What other proxies say.
@@ -191,15 +188,60 @@
         now = self.clock.now()
         for server_id, where in addresses.items():
             reach_of(self.balancer.record(now, server_id)).address = where
-        self.balancer.list_told(now, entries, whole)
+        self.tell(self.rotation.told(entries, whole), whole)
+        self.serving = self.serving or bool(self.balancer.ready)
+
+    def tell(self, entries: list[Entry], whole: bool) -> None:
+        self.balancer.list_told(self.clock.now(), entries, whole)
         self.by_tag = {tag_of(s.points[0]): s for s in self.balancer.servers.values()}
         self.probes.keep_to_ready()
-        self.serving = self.serving or bool(self.balancer.ready)
 
     def list_failed(self, why: str) -> None:
         self.log_lines.say(f"list: {why}", list=why)
         self.balancer.list_failed(self.clock.now())
 
+    # What operators say: whether it is done, or so already, and a line for them.
+
+    def ready(self) -> tuple[bool, str]:
+        if self.stopping:
+            return False, "leaving"
+        if not self.serving:
+            return False, "no list of servers yet"
+        return True, "ready, draining" if self.draining else "ready"
+
+    def take_out(self, server_id: str) -> tuple[bool, str]:
+        """Leaves a server out until it is called back. Raises UnlistedError."""
+        now, first = self.clock.now(), server_id not in self.rotation.out
+        self.tell([self.rotation.take_out(now, server_id)], False)
+        if first:
+            self.balancer.empty(now, self.balancer.record(now, server_id))
+        self.log_lines.say(f"operator: {server_id} out" + (" (it was)" if not first else ""))
+        return True, f"{server_id} is out"
+
+    def call_back(self, server_id: str) -> tuple[bool, str]:
+        """Uses a server again. Raises UnlistedError."""
+        was_out = server_id in self.rotation.out
+        self.tell([self.rotation.call_back(self.clock.now(), server_id)], False)
+        self.log_lines.say(f"operator: {server_id} back" + ("" if was_out else " (it was not out)"))
+        return True, f"{server_id} is in use"
+
+    def drain(self) -> tuple[bool, str]:
+        """Sends all clients away; those who still come are served and sent away as well."""
+        if not self.draining and not self.stopping:
+            self.balancer.stop(self.clock.now())
+        self.log_lines.say("operator: drain" + (" (it was)" if self.draining else ""))
+        self.draining = True
+        return True, "draining"
+
+    def resume(self) -> tuple[bool, str]:
+        if self.stopping:
+            return False, "leaving"
+        self.log_lines.say("operator: resume" + ("" if self.draining else " (it was not draining)"))
+        if self.draining:
+            self.draining = False
+            self.balancer.resume(self.clock.now())
+        return True, "taking flows"
+
     # Calls out of the decisions.
 
     def connect(self, flow: Flow, server: Server, max_wait: float) -> None:
--- a/brambleplank/platform/run.py
+++ b/brambleplank/platform/run.py
@@ -64,6 +64,14 @@
         self.told = told
 
 
+def open_for_operators(proxy: Proxy, where: tuple[str, int]) -> None:
+    """Danger to the platform's limits: what only operators need is imported only where they may call."""
+    from brambleplank.fronts.management.calls import MOST_CALLERS, Callers
+
+    factory: Any = Callers(proxy)
+    reactor.listenTCP(where[1], factory, backlog=MOST_CALLERS, interface=where[0])
+
+
 def main() -> int:
     signal.signal(signal.SIGHUP, signal.SIG_IGN)  # Danger: one that comes before all is set up would end it.
     try:
@@ -72,12 +80,15 @@
         clients: Any = Clients(program.proxy)
         listener = Listener(told.listen[1], clients, BACKLOG, told.listen[0], reactor)
         program.proxy.door.listeners.append(listener)
+        if told.mgmt:
+            open_for_operators(program.proxy, told.mgmt)
         listener.startListening()
     except UnfitError as unfit:
         print(f"brambleplank: {unfit}", file=sys.stderr)
         return 2
     except error.CannotListenError as cannot:
-        key = "listen" if cannot.port == told.listen[1] else "peer_listen"
+        at = (cannot.interface, cannot.port)
+        key = "listen" if at == told.listen else "mgmt" if at == told.mgmt else "peer_listen"
         print(f"brambleplank: {key}: {cannot.interface}:{cannot.port}: {cannot.socketError}", file=sys.stderr)
         return 2
     watch(program.proxy)
--- a/brambleplank/platform/start.py
+++ b/brambleplank/platform/start.py
@@ -29,6 +29,7 @@
     peer_listen: tuple[str, int] | None
     peers_all: tuple[str, int]
     peers: list[tuple[str, int]]
+    mgmt: tuple[str, int] | None  # where operators call, if anywhere
     known: dict[str, Any]
     terms: Terms
     file: dict[str, Any]  # as it was read
@@ -90,6 +91,7 @@
         # Danger: the environment stays as it was at the start, and would hide what the file says now.
         moved = told.get("discovery") != before.file.get("discovery")
         where = told.get("discovery") if moved else ":".join(map(str, before.discovery))
+    mgmt = os.environ.get("ROUTER_MGMT") or told.get("mgmt")
     talks = terms.peers and told.get("peer_listen") is not None
     peers = told.get("peers", [])
     if not isinstance(peers, list):
@@ -103,6 +105,7 @@
         peer_listen=address(told["peer_listen"], "peer_listen") if talks else None,
         peers_all=address(told.get("peers_all"), "peers_all") if talks else ("", 0),
         peers=[address(peer, "peers") for peer in peers],
+        mgmt=address(mgmt, "mgmt") if mgmt is not None else None,
         known=known,
         terms=terms,
         file=told,
--- /dev/null
+++ b/brambleplank/rotation.py
@@ -0,0 +1,80 @@
+"""The operators' word on servers, kept apart from what lists say: which are out of rotation. Free of I/O.
+
+Each list passes through it before the decisions see it. A server that is out is told to them as draining, so
+nothing new goes there whatever the list says. Times are Unix time in seconds with fractions.
+"""
+
+from __future__ import annotations
+
+from brambleplank.host import Condition, Entry
+
+MOST_GONE = 4096  # servers that were listed once and are remembered
+
+
+class UnlistedError(LookupError):
+    """No list has ever named that server."""
+
+
+class Rotation:
+    """Which servers are out, since when, and what lists last said of each."""
+
+    def __init__(self) -> None:
+        self.listed: dict[str, Entry] = {}  # as last told, longest ago first; also those that are gone since
+        self.out: dict[str, float] = {}  # since when
+        self.back: dict[str, tuple[float, float]] = {}  # called back: since when it was out, and until when
+
+    def told(self, entries: list[Entry], whole: bool) -> list[Entry]:
+        """The list, or changes to it, with the operators' word laid over."""
+        named = {entry[0] for entry in entries}
+        for server_id in [s for s, entry in self.listed.items() if whole and s not in named]:
+            self.note(gone(self.listed[server_id]))
+        for entry in entries:
+            self.note(entry)
+        if len(self.listed) > MOST_GONE:
+            self.forget()
+        return [self.laid_over(entry) for entry in entries]
+
+    def note(self, entry: Entry) -> None:
+        self.listed.pop(entry[0], None)
+        self.listed[entry[0]] = entry
+
+    def forget(self) -> None:
+        """Danger: where servers get a new name at each start, the names of all would be kept for ever."""
+        over = [s for s, e in self.listed.items() if e[3] is Condition.GONE and s not in self.out]
+        for server_id in over[: len(self.listed) - MOST_GONE]:
+            del self.listed[server_id]
+            self.back.pop(server_id, None)
+
+    def laid_over(self, entry: Entry) -> Entry:
+        server_id, zone, cell, condition, size, started = entry
+        if server_id in self.out and condition is Condition.READY:
+            condition = Condition.DRAINING
+        elif server_id in self.back:
+            # Danger: most likely it was started anew while it was out, and the list tells of that late; it is
+            # cold, and a burst would push it over. A start after it was called out, once told, is that one.
+            since, until = self.back[server_id]
+            started = started if started > since else until
+        return server_id, zone, cell, condition, size, started
+
+    def take_out(self, now: float, server_id: str) -> Entry:
+        """It is out from now on; what to tell of it. Raises UnlistedError."""
+        self.known(server_id)
+        self.out.setdefault(server_id, now)
+        self.back.pop(server_id, None)
+        return self.laid_over(self.listed[server_id])
+
+    def call_back(self, now: float, server_id: str) -> Entry:
+        """It is in use again, however often it was called out; what to tell of it. Raises UnlistedError."""
+        self.known(server_id)
+        if server_id in self.out:
+            self.back[server_id] = self.out.pop(server_id), now
+        return self.laid_over(self.listed[server_id])
+
+    def known(self, server_id: str) -> None:
+        if server_id not in self.listed:
+            raise UnlistedError(server_id)
+
+
+def gone(entry: Entry) -> Entry:
+    server_id, zone, cell, _, size, started = entry
+    return server_id, zone, cell, Condition.GONE, size, started
--- a/brambleplank/sidecar/shapes.py
+++ b/brambleplank/sidecar/shapes.py
@@ -257,7 +257,7 @@
         "service_types": kinds,
         "tenants": [{"name": name} for name in file.customers],
         "specifics": {
-            "groups": file.groups, "tells_load": False,
+            "groups": file.groups,
             "message_aim_us": [
                 round((kind.message_target or kind.setup_target) * MICRO) for kind in file.service_type
             ],
--- a/brambleplank/terms.py
+++ b/brambleplank/terms.py
@@ -64,7 +64,6 @@
         measures=sockets and bool(limits.get("may_probe", False)),
         peers=bool(limits.get("peers", False)),
         groups=bool(facts.get("groups", False)),
-        tells_load=bool(facts.get("tells_load", False)),
         service_types=service_types,
         tenants=frozenset(item["name"] for item in info.get("tenants") or ()),
     )
--- a/brambleplank/wirehost/door.py
+++ b/brambleplank/wirehost/door.py
@@ -16,7 +16,7 @@
 CONDITIONS = {"IN": Condition.READY, "LAME": Condition.DRAINING, "OUT": Condition.GONE}
 WHOLE = {"INCREMENTAL": False, "FULL": True, "SAVED": True}
 MIDFLOW, RETURNED = 8, 16
-LOAD, MESSAGE_TIME = 1, 2
+MESSAGE_TIME = 2
 
 
 class Door:
@@ -65,11 +65,9 @@
             self.keep(flow_id, flow)
 
     def change(self, now: float, flow_id: str, server: str, amount: float, trial: int, what: int) -> None:
-        if flow := self.flows.get(flow_id):
-            if what == LOAD:
-                self.balancer.load_told(now, flow, trial, amount * MICRO)
-            elif what == MESSAGE_TIME:
-                self.balancer.message_time_told(now, flow.connects[trial].server, amount / 1000)
+        """Of what is told, message times are used; a connection's load is not."""
+        if what == MESSAGE_TIME and (flow := self.flows.get(flow_id)):
+            self.balancer.message_time_told(now, flow.connects[trial].server, amount / 1000)
 
     def elapsed(self, now: float, token: int) -> None:
         known(self.alarms, token, "alarm")
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -32,7 +32,7 @@
     proxies=2, number=0, tick=0.005, push=True, max_connects=3, cancelling=True, retry_after=True,
     longest_pause=2.0, drain_grace=1.0, ask_within=10.0, cold_from=0.2, ramp_time=20.0, overload_factor=3.0,
     fall_time=2.0, connect_within=0.15, leave_within=1.0, silence_within=4.5, zone="a", measures=False,
-    peers=False, groups=True, tells_load=False, service_types={"feed": FEED}, tenants=frozenset(),
+    peers=False, groups=True, service_types={"feed": FEED}, tenants=frozenset(),
 )
 
 
