--- a/brambleplank/platform/run.py
+++ b/brambleplank/platform/run.py
@@ -36,7 +36,10 @@
                 lambda call: clock.later(0, call), proxy.time_told, proxy.held_told, proxy.home_told,
                 told.peers_all, told.peers,
             )
-            reactor.listenUDP(told.peer_listen[1], proxy.peers, interface=told.peer_listen[0])
+            # An upgrade's second process hears beside this one.
+            reactor.listenMulticast(
+                told.peer_listen[1], proxy.peers, interface=told.peer_listen[0], listenMultiple=bool(told.mgmt)
+            )
         self.discovery.begin(told.known)
 
     def read_again(self) -> None:
@@ -79,6 +82,8 @@
         program = Program(told)
         clients: Any = Clients(program.proxy)
         listener = Listener(told.listen[1], clients, BACKLOG, told.listen[0], reactor)
+        # An upgrade's second process listens beside this one.
+        listener._reusePort = bool(told.mgmt)
         program.proxy.door.listeners.append(listener)
         if told.mgmt:
             open_for_operators(program.proxy, told.mgmt)
