SIGHUP takes new settings whole or not at all; a flow ends by those it came with

Need: classes added and dropped, effects and attempts changed under load waited for a restart, and their clients got ERR. Cause: settings were no part of what SIGHUP takes up (platform/start.LIVE). Change: Proxy.retune hands the terms on; the number of connects moved to ServiceType, which a flow holds; what derives from terms is computed on them; a key that stood in the file before may not be missing, a service type may not stand twice.

--- a/brambleplank/checks.py
+++ b/brambleplank/checks.py
@@ -54,6 +54,7 @@
         need(item.get("name"), f"settings.tenants[{i}].name", str)
     if not settings["service_types"]:
         raise UnfitError("settings.service_types: need one at least")
+    names: list[str] = []
     for i, item in enumerate(settings["service_types"]):
         at = f"settings.service_types[{i}]"
         need(item, at, dict)
@@ -63,6 +64,9 @@
             need(item[key], f"{at}.{key}", kind, least)
         if item["effect"] not in EFFECTS:
             raise UnfitError(f"{at}.effect: need one of {', '.join(EFFECTS)}, not {item['effect']!r:.40}")
+        if item["name"] in names:
+            raise UnfitError(f"{at}.name: {item['name']!r:.40} is there twice")
+        names.append(item["name"])
 
 
 def need(value: Any, key: str, kind: type, least: float = 0) -> None:
--- a/brambleplank/decide.py
+++ b/brambleplank/decide.py
@@ -99,10 +99,6 @@
     def out(self) -> Connect | None:
         return self.connects[-1] if self.connects and not self.connects[-1].over else None
 
-    @property
-    def over(self) -> bool:
-        return self.answered and self.out is None
-
 
 class Stage:
     """One step of the chain; what a stage leaves out passes everything on."""
@@ -137,7 +133,7 @@
         if not flow.connects:
             self.balancer.host.alarm(max(0.0, left), lambda at: self.expire(at, flow))
         # Danger: with no descriptor left, nothing can be connected, accepted or followed any more.
-        if left > 0 and room > ROOM_KEPT and len(flow.connects) < self.terms.max_connects:
+        if left > 0 and room > ROOM_KEPT and len(flow.connects) < flow.service_type.max_connects:
             return True
         self.balancer.give_up(flow)
         return False
@@ -492,7 +488,7 @@
 
     def wait(self, now: float, flow: Flow) -> float:
         left = flow.give_up_at - self.balancer.margin - now
-        if len(flow.connects) >= self.terms.max_connects or self.balancer.gate.failing > HALF_OPEN:
+        if len(flow.connects) >= flow.service_type.max_connects or self.balancer.gate.failing > HALF_OPEN:
             return left  # Danger: what is shared is late; an early time-out asks it twice.
         return min(max(flow.service_type.setup_target, 4 * self.balancer.gap), left / 2)
 
@@ -539,12 +535,11 @@
         self.ring.avoid = [s.avoids for s in self.chain if type(s).avoids is not Stage.avoids]
 
     def flow(
-        self, now: float, handle: Any, service_type: str, key: int | None, group: int | None,
+        self, now: float, handle: Any, kind: ServiceType, key: int | None, group: int | None,
         give_up_at: float, midflow: bool, returned: bool, server: Server | None = None,
     ) -> Flow:
         name = b"group %d" % group if group is not None else b"key %d" % key if key is not None else b""
         spot = place_on_ring(name) if name else self.rng.getrandbits(128)
-        kind = self.terms.service_types[service_type]
         flow = Flow(handle, kind, spot, group is not None, min(give_up_at, self.stop_at), midflow, returned)
         if server is None:
             self.place(now, flow)
@@ -647,6 +642,11 @@
             for connect in server.waiting:  # Danger: who waits longer than this proxy runs gets no answer.
                 self.host.alarm(self.terms.leave_within, partial(self.promise.expire, flow=connect.flow))
 
+    def retune(self, terms: Terms) -> None:
+        self.terms, self.margin = terms, 2 * terms.tick
+        for stage in self.chain:
+            stage.terms = terms
+
     def resume(self, now: float) -> None:
         self.stop_at = inf
 
--- a/brambleplank/fronts/line/clients.py
+++ b/brambleplank/fronts/line/clients.py
@@ -13,6 +13,7 @@
 from brambleplank.decide import Flow, Server
 from brambleplank.fronts.line import opening
 from brambleplank.fronts.line.connects import END, Line, whole_lines
+from brambleplank.host import ServiceType
 from brambleplank.net.buffers import LINGER, Tap
 from brambleplank.net.proxy import Proxy
 from brambleplank.seams import Reach
@@ -39,7 +40,7 @@
         self.flow: Flow | None = None
         self.connects: list[Line] = []  # in the order made
         self.standing: Line | None = None  # the one that is established
-        self.at: tuple[str, int, int | None, Server] | None = None  # it stood at that server before the start
+        self.at: tuple[ServiceType, int, int | None, Server] | None = None  # it stood there before the start
         self.pinged = False
         self.done = ""  # the reason code of the end, once there is one
 
--- a/brambleplank/host.py
+++ b/brambleplank/host.py
@@ -62,6 +62,7 @@
     window: float
     message_target: float  # for a message on an established connection
     connect_timeout: float  # the longest that a client waits
+    max_connects: int  # for one flow
 
 
 @dataclass(frozen=True)
@@ -72,7 +73,6 @@
     number: int  # this proxy's own, from 0
     tick: float
     push: bool
-    max_connects: int
     cancelling: bool
     retry_after: bool
     longest_pause: float
@@ -155,7 +155,7 @@
     """Calls in: what a host tells a balancer."""
 
     def flow(
-        self, now: float, handle: Any, service_type: str, key: int | None, group: int | None,
+        self, now: float, handle: Any, kind: ServiceType, key: int | None, group: int | None,
         give_up_at: float, midflow: bool, returned: bool, server: GivenServerT | None = None,
     ) -> FlowT:
         """A flow has come; with a server, a connection that is already open there.
@@ -194,6 +194,9 @@
     def stop(self, now: float) -> None:
         """A planned stop is near, or this proxy is drained: empty it."""
 
+    def retune(self, terms: Terms) -> None:
+        """These hold for what comes from now on; a flow that is here keeps the service type it came with."""
+
     def resume(self, now: float) -> None:
         """The drain is over, or the stop called off: what has not been moved yet stays."""
 
--- a/brambleplank/net/proxy.py
+++ b/brambleplank/net/proxy.py
@@ -63,7 +63,8 @@
         """A flow, whose client waits so long from `client.came` on."""
         self.clients[client] = None
         client.flow = self.balancer.flow(
-            self.clock.now(), client, service_type, key, group, client.came + wait, False, returned
+            self.clock.now(), client, self.terms.service_types[service_type], key, group, client.came + wait,
+            False, returned,
         )
 
     def stood(
@@ -80,7 +81,7 @@
             # Danger: said by anyone at any time, it would go past drains and coldness.
             client.abort("unplaced")
             return
-        client.at = (service_type, key, group, server)
+        client.at = (self.terms.service_types[service_type], key, group, server)
         client.dial(reach_of(server), 0.0)
 
     def left(self, client: Client, reset: bool) -> None:
@@ -218,6 +219,11 @@
         self.log_lines.say(f"operator: {server_id} out" + (" (it was)" if not first else ""))
         return True, f"{server_id} is out"
 
+    def retune(self, terms: Terms) -> None:
+        """New settings, whole. What was derived from the old is derived anew where it is read."""
+        self.terms = self.probes.terms = terms
+        self.balancer.retune(terms)
+
     def call_back(self, server_id: str) -> tuple[bool, str]:
         """Uses a server again. Raises UnlistedError."""
         was_out = server_id in self.rotation.out
--- a/brambleplank/platform/run.py
+++ b/brambleplank/platform/run.py
@@ -37,9 +37,8 @@
                 told.peers_all, told.peers,
             )
             # An upgrade's second process hears beside this one.
-            reactor.listenMulticast(
-                told.peer_listen[1], proxy.peers, interface=told.peer_listen[0], listenMultiple=bool(told.mgmt)
-            )
+            host, port = told.peer_listen
+            reactor.listenMulticast(port, proxy.peers, interface=host, listenMultiple=bool(told.mgmt))
         self.discovery.begin(told.known)
 
     def read_again(self) -> None:
@@ -53,12 +52,16 @@
         except UnfitError as unfit:
             proxy.log(f"reload: kept as it was: {unfit}")
             return
-        keys = [key for key in start.changed(self.told.file, told.file) if key not in start.UNREAD]
-        waits = [key for key in keys if key not in start.LIVE]
+        before = self.told.file
+        keys = [key for key in start.changed(before, told.file) if not key.startswith(start.UNREAD)]
+        taken = [start.shown(key, before, told.file) for key in keys if start.live(key)]
+        waits = [key for key in keys if not start.live(key)]
         proxy.log(
-            f"reload: taken up: {', '.join(key for key in keys if key in start.LIVE) or 'nothing'}"
+            f"reload: taken up: {', '.join(taken) or 'nothing'}"
             + (f"; wait for a restart: {', '.join(waits)}" if waits else "")
         )
+        if told.terms != self.told.terms:
+            proxy.retune(told.terms)
         proxy.door.descriptors = told.descriptors
         if proxy.peers:
             proxy.peers.reach(told.peers_all, told.peers)
@@ -81,7 +84,7 @@
         told = start.read()
         program = Program(told)
         clients: Any = Clients(program.proxy)
-        listener = Listener(told.listen[1], clients, BACKLOG, told.listen[0], reactor)
+        listener: Any = Listener(told.listen[1], clients, BACKLOG, told.listen[0], reactor)
         # An upgrade's second process listens beside this one.
         listener._reusePort = bool(told.mgmt)
         program.proxy.door.listeners.append(listener)
--- a/brambleplank/platform/start.py
+++ b/brambleplank/platform/start.py
@@ -4,7 +4,7 @@
 
 import json
 import os
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import Any
 
 from brambleplank.checks import UnfitError, address, check_settings
@@ -13,8 +13,12 @@
 from brambleplank.terms import terms_of
 
 FEWEST_DESCRIPTORS = 64
-LIVE = ("discovery", "limits.sockets", "peers", "peers_all")  # what SIGHUP changes; the rest takes a restart
-UNREAD = ("limits.cores", "limits.memory_mb")
+LIVE = ("discovery", "limits.sockets", "peers", "peers_all")  # what SIGHUP changes, beside settings
+UNREAD = ("limits.cores", "limits.memory_mb", "known")  # of no effect while this process runs
+FIXED = {  # settings that take a restart all the same, and their terms
+    "settings.balancers": "proxies", "settings.slot_no": "number", "settings.az": "zone",
+    "settings.policy_limits.may_probe": "measures", "settings.policy_limits.peers": "peers",
+}
 
 
 @dataclass(frozen=True)
@@ -61,7 +65,39 @@
     ]
 
 
+def live(key: str) -> bool:
+    """Whether SIGHUP takes it up; the rest waits for a restart."""
+    return key in LIVE or (key.startswith("settings.") and key not in FIXED)
+
+
+def shown(key: str, before: dict[str, Any], now: dict[str, Any]) -> str:
+    """A changed key for the log; of service types, which."""
+    if key != "settings.service_types":
+        return key
+    old, new = ({kind["name"]: kind for kind in told["settings"]["service_types"]} for told in (before, now))
+    what = [f"+{name}" for name in new if name not in old] + [f"-{name}" for name in old if name not in new]
+    what += [f"~{name}" for name in new if name in old and new[name] != old[name]]
+    return f"{key} ({' '.join(what) or 'their order'})"
+
+
+def complete(before: Any, now: Any, key: str = "") -> None:
+    """Raises UnfitError for a key that stood there before.
+
+    Danger: of a file that was cut, or written by half, the rest would be taken up with defaults for what is
+    missing.
+    """
+    if key in UNREAD or not isinstance(before, dict) or not isinstance(now, dict):
+        return
+    for name, value in before.items():
+        at = f"{key}.{name}" if key else name
+        if name not in now and at not in UNREAD:
+            raise UnfitError(f"{at}: missing; it stood there before")
+        complete(value, now.get(name), at)
+
+
 def check(told: dict[str, Any], before: Told | None = None) -> Told:
+    if before:
+        complete(before.file, told)
     name = os.environ.get("ROUTER_NAME") or told.get("name")
     if not isinstance(name, str) or not name:
         raise UnfitError("name: need a word")
@@ -88,6 +124,7 @@
         raise UnfitError(f"settings: {type(error).__name__} {error}") from None
     where = os.environ.get("ROUTER_DISCOVERY") or told.get("discovery")
     if before:
+        terms = replace(terms, **{term: getattr(before.terms, term) for term in FIXED.values()})
         # Danger: the environment stays as it was at the start, and would hide what the file says now.
         moved = told.get("discovery") != before.file.get("discovery")
         where = told.get("discovery") if moved else ":".join(map(str, before.discovery))
--- a/brambleplank/seams.py
+++ b/brambleplank/seams.py
@@ -12,7 +12,7 @@
 from typing import Protocol
 
 from brambleplank.decide import Flow, Server
-from brambleplank.host import Address, End
+from brambleplank.host import Address, End, ServiceType
 
 
 class Reach(Protocol):
@@ -61,7 +61,7 @@
     """A client's connection, from its opening to its end."""
 
     flow: Flow | None
-    at: tuple[str, int, int | None, Server] | None  # service type, key, group, server where it stood before
+    at: tuple[ServiceType, int, int | None, Server] | None  # key, group, and server where it stood before
 
     @property
     def id(self) -> str:
--- a/brambleplank/terms.py
+++ b/brambleplank/terms.py
@@ -39,6 +39,7 @@
             window=item.get("window_us", 0) * MICRO,
             message_target=(targets[i] if i < len(targets) else item["setup_target_us"]) * MICRO,
             connect_timeout=waits[i],
+            max_connects=limits["max_connects"],
         )
         for i, item in enumerate(info["service_types"])
     }
@@ -47,7 +48,6 @@
         number=info["slot_no"],
         tick=info["tick_us"] * MICRO,
         push=info["discovery"] == "push" and not sockets,
-        max_connects=limits["max_connects"],
         cancelling=limits["cancelling"],
         retry_after=limits["retry_after"],
         longest_pause=limits["max_retry_after_us"] * MICRO,
--- a/brambleplank/wirehost/door.py
+++ b/brambleplank/wirehost/door.py
@@ -37,10 +37,10 @@
         valid_until: int | None, expected: int | None, channel: int | None, options: int | None,
         server: str | None = None,
     ) -> None:
-        known(self.balancer.terms.service_types, service, "service type")
+        kind = known(self.balancer.terms.service_types, service, "service type")
         bits = options or 0
         flow = self.balancer.flow(
-            now, flow_id, service, affinity, channel, (valid_until or 0) * MICRO,
+            now, flow_id, kind, affinity, channel, (valid_until or 0) * MICRO,
             bool(bits & MIDFLOW), bool(bits & RETURNED),
             None if server is None else self.balancer.record(now, server),
         )
@@ -90,7 +90,7 @@
         )
 
     def keep(self, flow_id: str, flow: Flow) -> None:
-        if flow.over:
+        if flow.answered and flow.out is None:
             self.flows.pop(flow_id, None)
         else:
             self.flows[flow_id] = flow
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -27,9 +27,9 @@
 from brambleplank.sidecar import writer
 from brambleplank.sidecar.shapes import Listen, Servers
 
-FEED = ServiceType(0.3, Effect.REPEATABLE, "all", 5.0, 0.1, 1.8)
+FEED = ServiceType(0.3, Effect.REPEATABLE, "all", 5.0, 0.1, 1.8, 3)
 TERMS = Terms(
-    proxies=2, number=0, tick=0.005, push=True, max_connects=3, cancelling=True, retry_after=True,
+    proxies=2, number=0, tick=0.005, push=True, cancelling=True, retry_after=True,
     longest_pause=2.0, drain_grace=1.0, ask_within=10.0, cold_from=0.2, ramp_time=20.0, overload_factor=3.0,
     fall_time=2.0, connect_within=0.15, leave_within=1.0, silence_within=4.5, zone="a", measures=False,
     peers=False, groups=True, service_types={"feed": FEED}, tenants=frozenset(),
@@ -59,9 +59,8 @@
         self, key: int | None = 7, wait: float = 1.8, group: int | None = None, midflow: bool = False,
         returned: bool = False, at: decide.Server | None = None,
     ) -> Flow:
-        return self.proxy.flow(
-            self.now, None, "feed", key, group, self.now + wait, midflow, returned, at
-        )
+        kind = self.proxy.terms.service_types["feed"]
+        return self.proxy.flow(self.now, None, kind, key, group, self.now + wait, midflow, returned, at)
 
     def stand(self, flow: Flow, delay: float = 0.02) -> Flow:
         self.proxy.established(self.now, flow, len(flow.connects) - 1, delay)
--- a/tests/test_operating.py
+++ b/tests/test_operating.py
@@ -3,13 +3,14 @@
 from __future__ import annotations
 
 import json
+import signal
 import socket
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 from typing import Any
 
 import pytest
 
-from tests.conftest import Discovery, Line, Program, Server, spare_address, told
+from tests.conftest import SETTINGS, Discovery, Line, Program, Server, spare_address, starter, told
 
 Run = Callable[..., Program]
 
@@ -111,3 +112,81 @@
     silent[-1].conn.sendall(b"PUT /-/dra")
     assert call(program, "/-/ready", "GET") == 200
     assert silent[0].hear().startswith("HTTP/1.1 503")
+
+
+def settings(most: Any = 3, **kinds: Any) -> dict[str, Any]:
+    """Settings with these service types: each its effect, or changes to what all have."""
+    usual = {"effect": "repeatable", "setup_target_us": 300000, "deadline_us": 1800000}
+    listed = [{"name": name, **usual, **what} for name, what in kinds.items()]
+    limits = {**SETTINGS["policy_limits"], "max_connects": most}
+    return {**SETTINGS, "policy_limits": limits, "service_types": listed}
+
+
+def test_new_settings_bind_who_comes_and_a_flow_ends_by_those_it_came_with(run: Run) -> None:
+    one, other = Server(None), Server(None)
+    program = operated(run, one, other, settings=settings(feed={}, old={}))
+    waits = program.opening(kind="old", d=1800)
+    assert waits.conn.getpeername() and program.caller("PING").hear() == "PONG"
+    said = program.read_again(settings=settings(1, feed={"effect": "once"}, new={}))
+    assert "settings.policy_limits.max_connects, settings.service_types (+new -old ~feed)" in said
+    assert program.opening(kind="old").hear() == "ERR"
+    one.answer = other.answer = "ERR"
+    assert program.opening(kind="new").hear().startswith("BUSY") and program.opening().hear() == "FAIL"
+    assert waits.hear().startswith("BUSY")
+    kinds = [server.next()[0].split("c=")[1][:4] for server in (one, other) for _ in range(server.count)]
+    assert sorted(kinds) == ["feed", "new,", "old,", "old,", "old,"]
+
+
+BROKEN = [
+    ("\n", "is not JSON"), ("{}", "name: missing"), ('{"name": "n1", "lis', "is not JSON"),
+    ({"settings": None}, "settings: need an object"), ({"discovery": None}, "discovery: need an address"),
+    ({"limits": {"cores": 1.0}}, "limits.sockets: missing"), ({"seed": "many"}, "seed"),
+    *(
+        ({"settings": settings(feed={"deadline_us": wrong})}, "service_types[0].deadline_us")
+        for wrong in ("1800000", True, float("nan"), float("inf"), 0, -5, None, [1])
+    ),
+    *(
+        ({"settings": settings(wrong, feed={})}, "max_connects")
+        for wrong in ("3", True, float("nan"), float("inf"), 0, -1, 2.5, None)
+    ),
+    ({"settings": settings()}, "service_types: need one at least"),
+    ({"settings": settings(feed={"effect": "twice"})}, "service_types[0].effect"),
+    ({"settings": settings(feed={}, other={"name": "feed"})}, "service_types[1].name: 'feed' is there twice"),
+    ({"settings": {**SETTINGS, "policy_limits": {"max_connects": 3}}}, "policy_limits.may_probe: missing"),
+    ({"settings": {**SETTINGS, "rules": []}}, "settings.rules: need an object"),
+]
+
+
+@pytest.fixture(scope="module")
+def standing(tmp_path_factory: pytest.TempPathFactory) -> Iterator[tuple[Program, dict[str, Any]]]:
+    """One program for all broken files, and its sound one: none of them may change anything for the next."""
+    for run in starter(tmp_path_factory.mktemp("broken"), Program):
+        program = operated(run, Server())
+        assert program.opening().hear() == "UP r1"
+        yield program, dict(program.config)
+
+
+@pytest.mark.parametrize(("wrong", "named"), BROKEN, ids=[f"{n}" for n in range(len(BROKEN))])
+def test_nothing_is_taken_of_a_broken_file(
+    standing: tuple[Program, dict[str, Any]], wrong: str | dict[str, Any], named: str
+) -> None:
+    program, sound = standing
+    program.config = {**sound, "discovery": "127.0.0.1:9", **(wrong if isinstance(wrong, dict) else {})}
+    said = program.read_again(wrong if isinstance(wrong, str) else json.dumps(program.config))
+    assert "reload: kept as it was: " in said and named in said
+    assert program.opening().hear() == "UP r1" and program.opening(kind="order").hear() == "UP r1"
+
+
+def test_two_calls_to_read_again_in_one_instant_end_at_what_the_file_says(run: Run) -> None:
+    program = operated(run, Server())
+    assert program.opening().hear() == "UP r1"
+    for name in ("new", "newer"):
+        program.config["settings"] = settings(**{"feed": {}, name: {}})
+        program.path.write_text(json.dumps(program.config))
+        program.process.send_signal(signal.SIGHUP)
+    while program.opening(kind="newer").hear() != "UP r1":
+        pass
+    assert program.opening(kind="new").hear() == "ERR"
+    said = program.read_again(settings={**program.config["settings"], "balancers": 7})
+    while "wait for a restart: settings.balancers" not in said:
+        said = program.line("reload: ")
--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -372,10 +372,11 @@
         assert told_of.faults
         return
     terms = told_of.terms
-    assert 1 <= terms.max_connects <= 4 and 0 < terms.drain_grace <= 3
+    assert 0 < terms.drain_grace <= 3
     for kind in terms.service_types.values():
         assert kind.setup_target <= kind.connect_timeout
-        assert terms.max_connects * terms.connect_within <= kind.connect_timeout * 1.000001
+        assert 1 <= kind.max_connects <= 4
+        assert kind.max_connects * terms.connect_within <= kind.connect_timeout * 1.000001
         assert kind.effect.value == "referenced" or kind.group == "all"
     assert reader.read(told_of.path, {}).terms == terms
 
--- a/tests/test_stories.py
+++ b/tests/test_stories.py
@@ -40,7 +40,7 @@
     assert fake.asked("reject")[0][0] is flow and flow.answered
     fake.end(flow, End.CANCELLED, complete=True)
     fake.pass_time(5.0)
-    assert len(fake.asked("reject")) == 1 and len(fake.asked("connect")) == 1 and flow.over
+    assert len(fake.asked("reject")) == 1 and len(fake.asked("connect")) == 1 and flow.out is None
 
 
 def test_a_further_connect_goes_to_another_server_never_two_at_once(fake: Fake) -> None:
@@ -57,8 +57,8 @@
 def test_a_once_only_flow_is_tried_again_only_if_it_provably_never_ran(
     end: End, connects: int, answer: str
 ) -> None:
-    once = replace(FEED, effect=Effect.ONCE_ONLY)
-    fake = Fake(service_types={"feed": once}, max_connects=2)
+    once = replace(FEED, effect=Effect.ONCE_ONLY, max_connects=2)
+    fake = Fake(service_types={"feed": once})
     flow = fake.come()
     fake.end(flow, end)
     assert len(fake.asked("connect")) == connects
@@ -433,7 +433,7 @@
     flow = fake.stand(fake.come())
     fake.free = 0.1
     fake.come(8)
-    assert len(fake.asked("reject")) == 1 and len(fake.asked("connect")) == 1 and not flow.over
+    assert len(fake.asked("reject")) == 1 and len(fake.asked("connect")) == 1 and flow.out
     fake.free = 0.5
     fake.come(8)
     assert len(fake.asked("connect")) == 2
