A second process takes over sockets and knowledge of the first, over a Unix socket in TMPDIR

Change: platform/handover and platform/estate. The new process gets the listening sockets and, in the same turn, bans with their times, the list with who drains since when, what cold servers had, ids, set-aside servers, homes, counts; then both tell each other what they hold and what operators say. The first answers PING for the second until it ends, leaves probes and datagrams to it, and takes clients again if it dies. Without the other's word a start goes on by SO_REUSEPORT; bans also stand in a file. UDP has one reader at a time: the first places nothing new by then.

--- a/brambleplank/net/buffers.py
+++ b/brambleplank/net/buffers.py
@@ -109,6 +109,7 @@
     """Lets in as many as its factory has room for; the others wait in the kernel."""
 
     held = False
+    given = False  # to another process, which lets in
     factory: Any
     numberAccepts: int  # noqa: N815
 
@@ -123,9 +124,20 @@
 
     def resume(self) -> None:
         self.held = False
-        if not self.disconnecting and self.connected:  # type: ignore[attr-defined]
+        if not self.given and not self.disconnecting and self.connected:  # type: ignore[attr-defined]
             self.startReading()  # type: ignore[attr-defined]
 
+    def give(self, given: bool) -> None:
+        """Another process lets in from the same queue; or does no more.
+
+        Danger: shut down as Twisted does at the end, the queue would be closed for the other process too.
+        """
+        self.given, self._shouldShutdown = given, False
+        if given:
+            self.stopReading()  # type: ignore[attr-defined]
+        else:
+            self.resume()
+
 
 class Listener(HeldBack, tcp.Port):
     """Takes clients' connections in at an address."""
--- a/brambleplank/net/door.py
+++ b/brambleplank/net/door.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable
+
 from brambleplank.net.clock import Clock
 from brambleplank.seams import Client, Listener
 
@@ -59,6 +61,10 @@
         self.let_in()
         return True
 
+    def in_use_elsewhere(self, flow_ids: Iterable[str]) -> None:
+        """Ids of flows at another process of this proxy."""
+        self.used_ids.update(dict.fromkeys(flow_ids, self.clock.now() + IDS_KEPT))
+
     def over(self, flow_id: str) -> None:
         self.open_ids.discard(flow_id)
         self.used_ids[flow_id] = self.clock.now() + IDS_KEPT
--- a/brambleplank/net/proxy.py
+++ b/brambleplank/net/proxy.py
@@ -48,12 +48,14 @@
         self.by_tag: dict[int, Server] = {}  # as other proxies name them
         self.rotation = Rotation()
         self.serving = self.stopping = self.draining = False
+        self.succeeded = False  # another process of this proxy takes the clients in, and speaks for it
+        self.heard_word: Callable[[str, str], None] = lambda what, server_id: None  # an operator's
         self.emptied: Callable[[], None] = lambda: None  # called once a planned stop has emptied it
         self.clients: dict[Client, None] = {}
         clock.later(LOOK, self.look)
 
     def takes_flows(self) -> bool:
-        return self.serving and not self.stopping and not self.draining
+        return self.serving and not self.draining and (self.succeeded or not self.stopping)
 
     # What clients say.
 
@@ -217,6 +219,7 @@
         if first:
             self.balancer.empty(now, self.balancer.record(now, server_id))
         self.log_lines.say(f"operator: {server_id} out" + (" (it was)" if not first else ""))
+        self.heard_word("out", server_id)
         return True, f"{server_id} is out"
 
     def retune(self, terms: Terms) -> None:
@@ -229,6 +232,7 @@
         was_out = server_id in self.rotation.out
         self.tell([self.rotation.call_back(self.clock.now(), server_id)], False)
         self.log_lines.say(f"operator: {server_id} back" + ("" if was_out else " (it was not out)"))
+        self.heard_word("back", server_id)
         return True, f"{server_id} is in use"
 
     def drain(self) -> tuple[bool, str]:
@@ -237,6 +241,7 @@
             self.balancer.stop(self.clock.now())
         self.log_lines.say("operator: drain" + (" (it was)" if self.draining else ""))
         self.draining = True
+        self.heard_word("drain", "")
         return True, "draining"
 
     def resume(self) -> tuple[bool, str]:
@@ -246,6 +251,7 @@
         if self.draining:
             self.draining = False
             self.balancer.resume(self.clock.now())
+        self.heard_word("resume", "")
         return True, "taking flows"
 
     # Calls out of the decisions.
@@ -285,18 +291,19 @@
         self.clock.later(0, self.tell_over, flow, connect, End.CANCELLED)
 
     def probe(self, server: Server) -> None:
-        self.probes.send(server)
+        if not self.succeeded:
+            self.probes.send(server)
 
     def tell_peers(self, server: Server, seconds: float) -> None:
-        if self.peers:
+        if self.peers and not self.succeeded:
             self.peers.tell_time(tag_of(server.points[0]), seconds, self.probes.news_of_usual(server))
 
     def tell_held(self, held: Iterable[tuple[Server, int]], whole: bool) -> None:
-        if self.peers:
+        if self.peers and not self.succeeded:
             self.peers.tell_held({tag_of(server.points[0]): count for server, count in held}, whole)
 
     def tell_homes(self, homes: Iterable[tuple[int, Server]]) -> None:
-        if self.peers:
+        if self.peers and not self.succeeded:
             self.peers.tell_homes({spot: tag_of(server.points[0]) for spot, server in homes})
 
     def room(self) -> float:
@@ -334,10 +341,12 @@
         self.stopping = True
         self.log_lines.say("stop: told to leave")
         self.balancer.stop(self.clock.now())
-        self.clock.later(LAST_COME, self.empty)
+        self.clock.later(LOOK if self.succeeded else LAST_COME, self.empty)
 
     def empty(self) -> None:
-        if self.clients:
+        # Danger: who has connected and not said all yet would be cut off; nobody waits longer than this.
+        coming = self.door.waiting and self.clock.now() < self.balancer.stop_at
+        if self.clients or coming:
             self.clock.later(LOOK, self.empty)
         else:
             self.log_lines.say("stop: empty")
--- /dev/null
+++ b/brambleplank/platform/estate.py
@@ -0,0 +1,229 @@
+"""What a process leaves to the next one of the same proxy: its form, its checks, and taking it up. No I/O.
+
+All that the four rules go by is in it, with the times it was learnt: which servers are out of rotation, which
+drain since when, what cold ones have had, ids in use; beside that what is dear to learn anew. Times are Unix
+time in seconds with fractions, and both processes read one clock.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Collection
+from dataclasses import dataclass, field
+from math import inf, isfinite
+from typing import Any, TypeVar
+
+from brambleplank.checks import UnfitError, address, need
+from brambleplank.decide import SPOT_CUT, Server
+from brambleplank.host import Condition
+from brambleplank.net.proxy import Proxy
+from brambleplank.net.reach import reach_of
+from brambleplank.rotation import unlisted
+from brambleplank.sources.platform.discovery import Discovery, GarbledError, list_of, written
+
+FORM = 1
+DELAYS = 16  # of probes that are handed on for each server
+MOVING = 2  # times what a planned stop leaves, in which groups that are moved away come back
+# Of a server's record: all that holds beyond a connection.
+TIMES = (
+    "unready_since", "started", "gap", "silence", "pause", "retry_at", "recent", "recent_at", "slow_until",
+    "late_until", "dropping_until", "told_at",
+)
+COUNTS = ("trickle", "cold_slot", "cold_sent", "cold_others")
+OF_ALL = ("gap", "served", "served_at", "begun")  # of the balancer
+Value = TypeVar("Value")
+
+
+@dataclass
+class Estate:
+    """Decoded and checked."""
+
+    listed: dict[str, Any] = field(default_factory=dict)  # the list in discovery's form
+    discovery: tuple[str, int] = ("", 0)  # who told it
+    once: list[str] = field(default_factory=list)  # servers that were listed and are gone
+    out: dict[str, float] = field(default_factory=dict)  # as in `Rotation`
+    back: dict[str, tuple[float, float]] = field(default_factory=dict)
+    draining: bool = False
+    started: float = 0.0
+    of_all: dict[str, float] = field(default_factory=dict)
+    failing: float = 0.0
+    window: float = inf
+    peers: dict[tuple[str, int], float] = field(default_factory=dict)
+    homes: list[tuple[int, str, float]] = field(default_factory=list)  # place on the ring, server, until when
+    ids: list[str] = field(default_factory=list)
+    times: dict[str, dict[str, float]] = field(default_factory=dict)  # by server
+    counts: dict[str, dict[str, int]] = field(default_factory=dict)
+    elsewhere: dict[str, dict[tuple[str, int], int]] = field(default_factory=dict)
+    delays: dict[str, list[float]] = field(default_factory=dict)
+    usual: dict[str, float] = field(default_factory=dict)
+
+
+def left(proxy: Proxy, discovery: Discovery) -> dict[str, Any]:
+    """What this process leaves, as plain values for JSON."""
+    balancer, rotation, now = proxy.balancer, proxy.rotation, proxy.clock.now()
+    servers = balancer.servers
+    addresses = {s.id: where for s in servers.values() if (where := reach_of(s).address)}
+    entries = [e for e in rotation.listed.values() if e[3] is not Condition.GONE and e[0] in addresses]
+    until = now + MOVING * proxy.terms.leave_within
+    homes = {spot >> SPOT_CUT: (server.id, until) for spot, server in balancer.homes.items()}
+    told = {spot: (server.id, at) for spot, (server, at) in balancer.homes_told.items() if at > now}
+    return {
+        "list": written(discovery.newest, entries, addresses),
+        "discovery": text_of(discovery.address),
+        "once": [e[0] for e in rotation.listed.values() if e[3] is Condition.GONE],
+        "out": rotation.out, "back": rotation.back, "draining": proxy.draining, "started": proxy.started,
+        "all": {name: getattr(balancer, name) for name in OF_ALL},
+        "failing": balancer.gate.failing,
+        "window": balancer.gate.window if isfinite(balancer.gate.window) else None,
+        "peers": {text_of(peer): at for peer, at in balancer.peers.items()},
+        "homes": [[spot, *home] for spot, home in {**told, **homes}.items()],
+        "ids": [*proxy.door.used_ids, *proxy.door.open_ids],
+        "servers": {s.id: of_server(s) for s in servers.values()},
+    }
+
+
+def of_server(server: Server) -> dict[str, Any]:
+    reach = reach_of(server)
+    peers = {text_of(peer): n for peer, n in server.elsewhere.items() if isinstance(peer, tuple)}
+    return {
+        **{name: getattr(server, name) for name in (*TIMES, *COUNTS)},
+        "elsewhere": peers, "delays": reach.delays[-DELAYS:], "usual": reach.usual_told,
+    }
+
+
+def text_of(where: tuple[str, int]) -> str:
+    return f"{where[0]}:{where[1]}"
+
+
+def read(told: Any) -> Estate:
+    """Raises UnfitError, which names the key; then nothing of it is used."""
+    need(told, "estate", dict)
+    value = told.get
+    listed = value("list")
+    try:
+        list_of(listed)
+    except GarbledError as error:
+        raise UnfitError(f"estate.list: {error}") from None
+    need(value("draining"), "estate.draining", bool)
+    need(value("all"), "estate.all", dict)
+    window, homes = value("window"), items(value("homes"), "estate.homes")
+    estate = Estate(
+        listed=listed,
+        discovery=address(value("discovery"), "estate.discovery"),
+        once=texts(value("once"), "estate.once"),
+        out=each(value("out"), "estate.out", number),
+        back=each(value("back"), "estate.back", two),
+        draining=value("draining"),
+        started=number(value("started"), "estate.started"),
+        of_all={name: number(value("all").get(name), f"estate.all.{name}", -1) for name in OF_ALL},
+        failing=number(value("failing"), "estate.failing"),
+        window=inf if window is None else number(window, "estate.window"),
+        peers=by_address(value("peers"), "estate.peers", number),
+        homes=[home(item, f"estate.homes[{i}]") for i, item in enumerate(homes)],
+        ids=texts(value("ids"), "estate.ids"),
+    )
+    for name, server in each(value("servers"), "estate.servers", table).items():
+        at = f"estate.servers.{name:.40}"
+        estate.times[name] = {key: number(server.get(key), f"{at}.{key}") for key in TIMES}
+        estate.counts[name] = {key: whole(server.get(key), f"{at}.{key}") for key in COUNTS}
+        estate.elsewhere[name] = by_address(server.get("elsewhere"), f"{at}.elsewhere", whole)
+        delays = items(server.get("delays"), f"{at}.delays")[-DELAYS:]
+        estate.delays[name] = [number(delay, f"{at}.delays") for delay in delays]
+        estate.usual[name] = number(server.get("usual"), f"{at}.usual")
+    return estate
+
+
+def number(value: Any, key: str, least: float = 0) -> float:
+    need(value, key, float, least)
+    return float(value)
+
+
+def whole(value: Any, key: str) -> int:
+    need(value, key, int, -1)
+    return int(value)
+
+
+def table(value: Any, key: str) -> dict[str, Any]:
+    need(value, key, dict)
+    return dict(value)
+
+
+def items(value: Any, key: str) -> list[Any]:
+    need(value, key, list)
+    return list(value)
+
+
+def texts(value: Any, key: str) -> list[str]:
+    for text in items(value, key):
+        need(text, key, str)
+    return list(value)
+
+
+def two(value: Any, key: str) -> tuple[float, float]:
+    if len(items(value, key)) != 2:
+        raise UnfitError(f"{key}: need two numbers")
+    return number(value[0], key), number(value[1], key)
+
+
+def home(value: Any, key: str) -> tuple[int, str, float]:
+    if len(items(value, key)) != 3:
+        raise UnfitError(f"{key}: need three values")
+    need(value[1], key, str)
+    return whole(value[0], key), value[1], number(value[2], key)
+
+
+def each(value: Any, key: str, kind: Callable[[Any, str], Value]) -> dict[str, Value]:
+    return {name: kind(item, f"{key}.{name:.40}") for name, item in table(value, key).items()}
+
+
+def by_address(value: Any, key: str, kind: Callable[[Any, str], Value]) -> dict[tuple[str, int], Value]:
+    return {address(name, key): item for name, item in each(value, key, kind).items()}
+
+
+def take_up(proxy: Proxy, discovery: Discovery, estate: Estate) -> None:
+    """This process goes on where the one before stands; it has been told no list yet."""
+    balancer, now = proxy.balancer, proxy.clock.now()
+    proxy.rotation.out, proxy.rotation.back = dict(estate.out), dict(estate.back)
+    proxy.rotation.told([unlisted(server_id) for server_id in estate.once], False)
+    discovery.begin(estate.listed, estate.discovery)
+    proxy.started = estate.started
+    for name, value in estate.of_all.items():
+        setattr(balancer, name, value)
+    balancer.gate.failing, balancer.gate.window = estate.failing, estate.window
+    balancer.peers.update(estate.peers)
+    for server in balancer.servers.values():
+        for name, value in {**estate.times.get(server.id, {}), **estate.counts.get(server.id, {})}.items():
+            setattr(server, name, value)
+        server.elsewhere = dict(estate.elsewhere.get(server.id, {}))
+        server.others = sum(server.elsewhere.values())
+        reach = reach_of(server)
+        reach.delays, reach.usual_told = estate.delays.get(server.id, []), estate.usual.get(server.id, 0.0)
+    for spot, server_id, until in estate.homes:
+        if server_id in balancer.servers:
+            balancer.homes_told[spot] = balancer.servers[server_id], until
+    proxy.door.in_use_elsewhere(estate.ids)
+    if estate.draining:
+        proxy.draining = True
+        balancer.stop(now)
+
+
+def beside(proxy: Proxy, who: object, held: dict[str, int]) -> None:
+    """So many connections stand at servers by the other process of this proxy, which is no proxy of its own.
+
+    Danger: for as long as both live, each would see room where the other's connections are, and a cold server
+    would get what it may have from each.
+    """
+    balancer, now = proxy.balancer, proxy.clock.now()
+    for server in balancer.servers.values():
+        change = held.get(server.id, 0) - server.elsewhere.get(who, 0)
+        if change:
+            balancer.cold.slot(now, server)
+            server.others += change
+            server.cold_others += max(0, change)
+            server.elsewhere[who] = held.get(server.id, 0)
+
+
+def stands(proxy: Proxy, others: Collection[object]) -> dict[str, int]:
+    """What stands by this process, and by those that it knows of, by server."""
+    servers = proxy.balancer.servers.values()
+    counts = {s.id: s.held + sum(s.elsewhere.get(other, 0) for other in others) for s in servers}
+    return {server_id: count for server_id, count in counts.items() if count}
--- /dev/null
+++ b/brambleplank/platform/handover.py
@@ -0,0 +1,407 @@
+"""A process beside the one before it: two of one proxy, over a Unix socket in $TMPDIR.
+
+The new one asks; in one turn of its reactor the old one gives its listening sockets and what it knows, and
+takes nothing in from there on. So there is one queue of clients, which is never closed. The channel stays
+open while both live, and carries what operators say at either and what each holds. Where it ends, the old
+one takes clients in again. Each line is a JSON object, with `say` for its kind:
+
+    take     new to old: its form, and the addresses that it wants to listen at, by key
+    estate   old to new: its form, the keys of the sockets that come with it, what it knows (`estate.py`)
+    here     new to old: it listens
+    holds    either: descriptors, connections by server, ids of flows that began since the estate
+    word     either: what an operator said, and of which server
+
+Every wait is bounded, and whatever is wrong with the other side only costs what it would have told.
+"""
+
+from __future__ import annotations
+
+import json
+import os
+import socket
+import time
+from collections.abc import Callable
+from contextlib import suppress
+from dataclasses import dataclass, field
+from typing import Any
+
+from twisted.internet import unix
+from twisted.internet.protocol import Factory, connectionDone
+from twisted.protocols.basic import LineReceiver
+from twisted.python.failure import Failure
+
+from brambleplank.checks import UnfitError, need
+from brambleplank.net.loop import reactor
+from brambleplank.net.proxy import Proxy
+from brambleplank.platform import estate
+from brambleplank.rotation import Rotation, unlisted
+from brambleplank.sources.platform.discovery import Discovery
+
+ASKED_WITHIN = 2.0  # seconds for the process before to hand over; it may be hung
+HOLDS_EVERY = 0.1  # seconds
+LONGEST = 16 * 1024 * 1024  # bytes of a line
+MOST_SOCKETS = 4
+RESERVED = 4  # descriptors: the socket here, the channels, one that is just coming
+OUT, BACK, DRAIN, RESUME = "out", "back", "drain", "resume"
+Address = tuple[str, int]
+
+
+def place(tmp: str, listen: Address, kind: str) -> str:
+    return os.path.join(tmp, f"brambleplank-{listen[0]}-{listen[1]}.{kind}")
+
+
+class Reachable:
+    """A path for a Unix socket, however long it is: the kernel takes no more than 107 bytes of one."""
+
+    def __init__(self, path: str) -> None:
+        self.folder = os.open(os.path.dirname(path), os.O_RDONLY | os.O_DIRECTORY | os.O_CLOEXEC)
+        self.path = f"/proc/self/fd/{self.folder}/{os.path.basename(path)}"
+
+    def __enter__(self) -> str:
+        return self.path
+
+    def __exit__(self, *_: object) -> None:
+        os.close(self.folder)
+
+
+@dataclass
+class Taken:
+    """What the process before gave."""
+
+    channel: socket.socket
+    sockets: dict[str, socket.socket] = field(default_factory=dict)
+    estate: estate.Estate | None = None
+    refused: str = ""  # why what it knows was not taken up
+
+    def adopt(self, key: str) -> socket.socket | None:
+        return self.sockets.pop(key, None)
+
+    def close(self) -> None:
+        """What nobody adopted."""
+        for each in (self.channel, *self.sockets.values()):
+            each.close()
+
+
+def ask(path: str, wanted: dict[str, Address], say: Callable[[str], None]) -> Taken | None:
+    """Takes over from the process before; None if nobody is there, or none that answers in time.
+
+    It waits, as nothing else runs in this process yet.
+    """
+    channel = socket.socket(socket.AF_UNIX, socket.SOCK_STREAM | socket.SOCK_CLOEXEC)
+    came: list[int] = []
+    try:
+        with Reachable(path) as near:
+            channel.settimeout(ASKED_WITHIN)
+            channel.connect(near)
+        names = {key: estate.text_of(address) for key, address in wanted.items()}
+        channel.sendall(line_of({"say": "take", "form": estate.FORM, "names": names}))
+        answer = heard(channel, came)
+        taken = Taken(channel, sockets_of(answer, wanted, came))
+    except (FileNotFoundError, ConnectionRefusedError):
+        channel.close()  # it is the first here, or the one before is gone
+        return None
+    except (OSError, ValueError, UnfitError) as error:
+        # Danger: a process that is hung, of another version or killed amid this must not keep this one from
+        # serving; what it has not given is learnt anew.
+        say(f"upgrade: taken over nothing: {type(error).__name__} {error}")
+        for number in came:
+            os.close(number)
+        channel.close()
+        return None
+    try:
+        if answer.get("form") != estate.FORM:
+            raise UnfitError(f"form {answer.get('form')!r:.20}, not {estate.FORM}")
+        taken.estate = estate.read(answer.get("estate"))
+    except (UnfitError, ValueError, TypeError, RecursionError) as error:
+        taken.refused = str(error)
+    return taken
+
+
+def heard(channel: socket.socket, came: list[int]) -> dict[str, Any]:
+    """Its answer, and the descriptors that came with it."""
+    until = time.monotonic() + ASKED_WITHIN
+    said = bytearray()
+    while not said.endswith(b"\n"):
+        channel.settimeout(max(0.001, until - time.monotonic()))
+        piece, numbers, _, _ = socket.recv_fds(channel, 256 * 1024, MOST_SOCKETS)
+        came += numbers
+        if not piece:
+            raise ConnectionError("the process before ended amid it")
+        said += piece
+        if len(said) > LONGEST or time.monotonic() > until:
+            raise TimeoutError("its answer is too long, or late")
+    return message_of(bytes(said))
+
+
+def sockets_of(
+    answer: dict[str, Any], wanted: dict[str, Address], came: list[int]
+) -> dict[str, socket.socket]:
+    """Raises UnfitError if they are not the ones that are wanted."""
+    found = {}
+    for key in estate.texts(answer.get("sockets"), "sockets"):
+        if key not in wanted or not came:
+            raise UnfitError(f"sockets: {key!r:.40} is not wanted, or did not come")
+        found[key] = socket.socket(fileno=came.pop(0))
+        if found[key].getsockname() != wanted[key]:
+            raise UnfitError(f"sockets: {key} is at {found[key].getsockname()}")
+        found[key].setblocking(False)
+        found[key].set_inheritable(False)
+    return found
+
+
+def line_of(message: dict[str, Any]) -> bytes:
+    return json.dumps(message, separators=(",", ":")).encode() + b"\n"
+
+
+def message_of(line: bytes) -> dict[str, Any]:
+    message = json.loads(line)
+    if not isinstance(message, dict):
+        raise ValueError("no object")
+    return message
+
+
+class Words:
+    """The operators' word on servers, in a file: for a process whose predecessor cannot be asked."""
+
+    def __init__(self, path: str, say: Callable[[str], None]) -> None:
+        self.path, self.say = path, say
+
+    def read(self, rotation: Rotation) -> None:
+        """Danger: left from a process that was killed, it may be torn; it must not stop a start."""
+        try:
+            with open(self.path, encoding="utf-8") as file:
+                told = json.load(file)
+            need(told, "words", dict)
+            out = estate.each(told.get("out"), "words.out", estate.number)
+            back = estate.each(told.get("back"), "words.back", estate.two)
+        except FileNotFoundError:
+            return
+        except (OSError, ValueError, RecursionError, UnfitError) as error:
+            self.say(f"upgrade: {self.path}: passed over: {error}")
+            return
+        rotation.out, rotation.back = out, back
+        if out:
+            self.say(f"operator: still out: {', '.join(out)}")
+
+    def write(self, rotation: Rotation) -> None:
+        """Whole or not at all; it is small, and no disk is behind it."""
+        try:
+            with open(f"{self.path}.new", "w", encoding="utf-8") as file:
+                json.dump({"out": rotation.out, "back": rotation.back}, file)
+            os.replace(f"{self.path}.new", self.path)
+        except OSError as error:
+            self.say(f"operator: {self.path}: not written: {error.strerror}")
+
+
+class Channel(LineReceiver):
+    """One end of the channel; `after` if the other end is the process after this one."""
+
+    delimiter = b"\n"
+    MAX_LENGTH = LONGEST
+    transport: Any
+
+    def __init__(self, handover: Handover, after: bool) -> None:
+        self.handover, self.after = handover, after
+        self.descriptors = 0  # that the other process holds, by its last word
+        self.told: dict[str, Any] = {}  # what it was last told that this one holds
+        self.ids: set[str] = set()  # that it knows of
+
+    def connectionMade(self) -> None:  # noqa: N802
+        if not self.after:
+            self.say({"say": "here"})
+            self.handover.joined(self)
+
+    def say(self, message: dict[str, Any]) -> None:
+        self.transport.write(line_of(message))
+
+    def lineReceived(self, line: bytes) -> None:  # noqa: N802
+        try:
+            self.handover.heard(self, message_of(line))
+        except (ValueError, RecursionError, UnfitError) as error:
+            self.handover.proxy.log(f"upgrade: the other process says {line[:60]!r}: {error}")
+            self.transport.loseConnection()
+
+    def lineLengthExceeded(self, line: bytes) -> None:  # noqa: N802
+        self.transport.loseConnection()
+
+    def connectionLost(self, reason: Failure = connectionDone) -> None:  # noqa: N802
+        self.handover.parted(self)
+
+
+class Channels(Factory):
+    noisy = False
+
+    def __init__(self, handover: Handover, after: bool) -> None:
+        self.handover, self.after = handover, after
+
+    def buildProtocol(self, addr: object) -> Channel:  # noqa: N802
+        return Channel(self.handover, self.after)
+
+
+class Handover:
+    """This process between the one before and the one after it."""
+
+    def __init__(
+        self, proxy: Proxy, discovery: Discovery, tmp: str, listen: Address, step: Callable[[bool], None]
+    ) -> None:
+        """`step` is called with whether this process takes clients in, as that changes."""
+        self.proxy, self.discovery, self.step = proxy, discovery, step
+        self.path = place(tmp, listen, "sock")
+        self.words = Words(place(tmp, listen, "words"), proxy.log)
+        self.sockets: dict[str, tuple[Address, Callable[[], int]]] = {}  # by key: address, and descriptor
+        self.channels: dict[Channel, None] = {}
+        self.waiting: Any = None  # where the process after this one asks
+        self.speaking: Channel | None = None  # whose word is being carried out
+        proxy.door.held(RESERVED)
+        proxy.heard_word = self.word
+        proxy.clock.later(HOLDS_EVERY, self.tell_holds)
+
+    # Coming.
+
+    def go_on(self, taken: Taken | None) -> bool:
+        """Goes on where the process before stands; False if there is nothing to go on from."""
+        if taken is None:
+            self.words.read(self.proxy.rotation)
+            return False
+        if taken.estate is None:
+            self.proxy.log(f"upgrade: only sockets taken over: {taken.refused}")
+            self.words.read(self.proxy.rotation)
+            return False
+        estate.take_up(self.proxy, self.discovery, taken.estate)
+        self.proxy.log("upgrade: taken over")
+        return True
+
+    def join(self, taken: Taken) -> None:
+        """From here on both tell each other."""
+        taken.channel.setblocking(False)
+        reactor.adoptStreamConnection(taken.channel.fileno(), socket.AF_UNIX, Channels(self, after=False))
+        taken.close()
+
+    def listen(self) -> None:
+        """Waits for the process after this one, also after another has taken the path and is gone."""
+        if self.waiting:
+            self.waiting.stopListening()
+        try:
+            waiting = socket.socket(socket.AF_UNIX, socket.SOCK_STREAM | socket.SOCK_CLOEXEC)
+            with Reachable(f"{self.path}.{os.getpid()}") as near:
+                with suppress(FileNotFoundError):
+                    os.unlink(near)
+                waiting.bind(near)
+                os.chmod(near, 0o600)
+                waiting.listen(MOST_SOCKETS)
+                waiting.setblocking(False)
+                # Danger: between taking away the old path and making the new one nobody could ask.
+                os.rename(near, os.path.join(os.path.dirname(near), os.path.basename(self.path)))
+        except OSError as error:
+            self.proxy.log(f"upgrade: the next process cannot ask here: {error.strerror}")
+            return
+        adopt: Any = unix.Port._fromListeningDescriptor
+        port = self.waiting = adopt(reactor, waiting.fileno(), Channels(self, after=True))
+        # Danger: Twisted takes the path away at the end, and it may be the next process's by then.
+        port._bindPath = b"\0"
+        port.startListening()
+        waiting.close()
+
+    # While both live.
+
+    def joined(self, channel: Channel) -> None:
+        channel.ids = {*self.proxy.door.used_ids, *self.proxy.door.open_ids}
+        self.channels[channel] = None
+
+    def heard(self, channel: Channel, message: dict[str, Any]) -> None:
+        """Raises UnfitError."""
+        kind = message.get("say")
+        if kind == "take" and channel.after:
+            self.give(channel, message)
+        elif kind == "here" and channel in self.channels:
+            self.proxy.log("upgrade: the next process listens")
+        elif kind == "holds" and channel in self.channels:
+            self.hold(channel, message)
+        elif kind == "word" and channel in self.channels:
+            self.carry_out(channel, message)
+        else:
+            raise UnfitError(f"say: {kind!r:.20} is not for now")
+
+    def give(self, channel: Channel, message: dict[str, Any]) -> None:
+        if any(each.after for each in self.channels):
+            raise UnfitError("another process is taking over")
+        names = estate.table(message.get("names"), "names")
+        given = {
+            key: descriptor() for key, (address, descriptor) in self.sockets.items()
+            if names.get(key) == estate.text_of(address)
+        }
+        for descriptor in given.values():
+            channel.transport.sendFileDescriptor(descriptor)
+        known = estate.left(self.proxy, self.discovery)
+        channel.say({"say": "estate", "form": estate.FORM, "sockets": list(given), "estate": known})
+        self.joined(channel)
+        if "listen" in given:
+            self.step(False)
+        self.proxy.log(f"upgrade: {', '.join(given) or 'no socket'} handed to the next process")
+
+    def hold(self, channel: Channel, message: dict[str, Any]) -> None:
+        descriptors = estate.whole(message.get("descriptors"), "descriptors")
+        held = estate.each(message.get("held"), "held", estate.whole)
+        ids = estate.texts(message.get("ids"), "ids")
+        self.proxy.door.held(descriptors - channel.descriptors)
+        channel.descriptors = descriptors
+        estate.beside(self.proxy, channel, held)
+        channel.ids.update(ids)
+        self.proxy.door.in_use_elsewhere(ids)
+
+    def tell_holds(self) -> None:
+        self.proxy.clock.later(HOLDS_EVERY, self.tell_holds)
+        for channel in self.channels:
+            others = [other for other in self.channels if other is not channel]
+            holds: dict[str, Any] = {
+                "descriptors": self.proxy.door.in_use - channel.descriptors,
+                "held": estate.stands(self.proxy, others),
+                "ids": sorted(self.proxy.door.open_ids - channel.ids),
+            }
+            if holds != channel.told:
+                channel.told = holds
+                channel.ids.update(holds["ids"])
+                channel.say({"say": "holds", **holds})
+
+    def word(self, what: str, server_id: str) -> None:
+        """An operator's word was carried out here; the other process is told, and the file."""
+        if what in (OUT, BACK):
+            self.words.write(self.proxy.rotation)
+        for channel in self.channels:
+            if channel is not self.speaking:
+                channel.say({"say": "word", "what": what, "server": server_id})
+
+    def carry_out(self, channel: Channel, message: dict[str, Any]) -> None:
+        what, server_id = estate.texts([message.get("what"), message.get("server")], "word")
+        proxy = self.proxy
+        self.speaking = channel
+        try:
+            if what in (OUT, BACK) and server_id not in proxy.rotation.listed:
+                # Danger: it is listed there and not here yet; passed over, the ban would bind one of two.
+                proxy.rotation.told([unlisted(server_id)], False)
+            calls: dict[str, Callable[[], object]] = {
+                OUT: lambda: proxy.take_out(server_id), BACK: lambda: proxy.call_back(server_id),
+                DRAIN: proxy.drain, RESUME: proxy.resume,
+            }
+            if what in calls:
+                calls[what]()
+        finally:
+            self.speaking = None
+
+    def end(self) -> None:
+        """This process ends. Danger: its parting looks like the other's end, and the path would be taken."""
+        self.channels = {}
+
+    def parted(self, channel: Channel) -> None:
+        """The other process is gone, or hung up."""
+        if channel not in self.channels:
+            return
+        del self.channels[channel]
+        self.proxy.door.held(-channel.descriptors)
+        estate.beside(self.proxy, channel, {})
+        if channel.after:
+            self.proxy.log("upgrade: the next process is gone; clients are taken in here again")
+            self.step(True)
+            self.listen()
+        else:
+            self.proxy.log("upgrade: the process before is gone")
--- a/brambleplank/platform/run.py
+++ b/brambleplank/platform/run.py
@@ -2,8 +2,12 @@
 
 from __future__ import annotations
 
+import errno
+import os
 import signal
+import socket
 import sys
+import time
 from typing import Any
 
 from twisted.internet import error
@@ -21,6 +25,9 @@
 from brambleplank.platform import start
 from brambleplank.sources.platform.discovery import Discovery
 
+FREE_WITHIN = 5.0  # seconds for an address to come free that is in use at the start, where operators call
+FREE_LOOK = 0.02  # seconds between two tries; nothing else runs in this process yet
+
 
 class Program:
     """A proxy of the platform and what it was told."""
@@ -29,17 +36,102 @@
         self.told = told
         clock = Clock()
         proxy = self.proxy = Proxy(clock, Log(clock.now), told.terms, told.seed, told.descriptors, Ping)
-        proxy.emptied = reactor.stop
+        proxy.emptied = self.end
+        self.side: Any = None  # towards the processes before and after this one, where there may be any
         self.discovery = proxy.source = Discovery(proxy, told.discovery)
         if told.peer_listen:
             proxy.peers = Peers(
                 lambda call: clock.later(0, call), proxy.time_told, proxy.held_told, proxy.home_told,
                 told.peers_all, told.peers,
             )
-            # An upgrade's second process hears beside this one.
-            host, port = told.peer_listen
-            reactor.listenMulticast(port, proxy.peers, interface=host, listenMultiple=bool(told.mgmt))
-        self.discovery.begin(told.known)
+
+    def hear_peers(self, adopted: socket.socket | None) -> Any:
+        """Where datagrams of other proxies arrive; None where they say nothing."""
+        if not self.told.peer_listen:
+            return None
+        if adopted:
+            port = reactor.adoptDatagramPort(adopted.fileno(), socket.AF_INET, self.proxy.peers)
+            adopted.close()
+            return port
+        host, number = self.told.peer_listen
+        # An upgrade's second process hears beside this one.
+        return reactor.listenMulticast(
+            number, self.proxy.peers, interface=host, listenMultiple=bool(self.told.mgmt)
+        )
+
+    def let_in(self, adopted: socket.socket | None) -> Any:
+        """Where clients come."""
+        clients: Any = Clients(self.proxy)
+        if adopted:
+            adopt: Any = Listener._fromListeningDescriptor
+            port: Any = adopt(reactor, adopted.fileno(), socket.AF_INET, clients)
+            adopted.close()
+        else:
+            port = Listener(self.told.listen[1], clients, BACKLOG, self.told.listen[0], reactor)
+            # An upgrade's second process listens beside this one.
+            port._reusePort = bool(self.told.mgmt)
+        self.proxy.door.listeners.append(port)
+        until = time.monotonic() + (FREE_WITHIN if self.told.mgmt else 0)
+        while True:
+            try:
+                port.startListening()
+                return port
+            except error.CannotListenError as cannot:
+                # Danger: a process of this proxy that knows no upgrades holds the address until it ends.
+                if cannot.socketError.errno != errno.EADDRINUSE or time.monotonic() >= until:
+                    raise
+            time.sleep(FREE_LOOK)
+
+    def begin(self) -> None:
+        """The proxy as the platform starts it where no operator calls."""
+        self.hear_peers(None)
+        self.discovery.begin(self.told.known)
+        self.let_in(None)
+
+    def begin_beside(self, mgmt: tuple[str, int]) -> None:
+        """The same where operators call, and where a process of this proxy may run already.
+
+        What only this needs is imported only here.
+        """
+        from brambleplank.platform import handover
+
+        tmp = os.environ.get("TMPDIR")
+        wanted = {"listen": self.told.listen, "mgmt": mgmt}
+        if self.told.peer_listen:
+            wanted["peer_listen"] = self.told.peer_listen
+        taken = None
+        if tmp:
+            taken = handover.ask(handover.place(tmp, self.told.listen, "sock"), wanted, self.proxy.log)
+        adopt = taken.adopt if taken else lambda key: None
+        hears: Any = None
+
+        def step(forward: bool) -> None:
+            """Clients and other proxies are this process's matter, or the next one's."""
+            self.proxy.succeeded = not forward
+            listener.give(not forward)
+            if hears is not None:
+                hears.startReading() if forward else hears.stopReading()
+
+        side = handover.Handover(self.proxy, self.discovery, tmp, self.told.listen, step) if tmp else None
+        self.side = side
+        hears = self.hear_peers(adopt("peer_listen"))
+        if side is None or not side.go_on(taken):
+            self.discovery.begin(self.told.known)
+        listener = self.let_in(adopt("listen"))
+        operators = open_for_operators(self.proxy, mgmt, adopt("mgmt"))
+        if side is not None:
+            side.sockets["listen"] = self.told.listen, listener.fileno
+            side.sockets["mgmt"] = mgmt, operators.fileno
+            if hears is not None and self.told.peer_listen:
+                side.sockets["peer_listen"] = self.told.peer_listen, hears.fileno
+            if taken:
+                side.join(taken)
+            side.listen()
+
+    def end(self) -> None:
+        if self.side is not None:
+            self.side.end()
+        reactor.stop()
 
     def read_again(self) -> None:
         """SIGHUP: what can change while flows stand is taken up; what stands is not touched.
@@ -70,12 +162,15 @@
         self.told = told
 
 
-def open_for_operators(proxy: Proxy, where: tuple[str, int]) -> None:
-    """Danger to the platform's limits: what only operators need is imported only where they may call."""
+def open_for_operators(proxy: Proxy, where: tuple[str, int], adopted: socket.socket | None) -> Any:
     from brambleplank.fronts.management.calls import MOST_CALLERS, Callers
 
     factory: Any = Callers(proxy)
-    reactor.listenTCP(where[1], factory, backlog=MOST_CALLERS, interface=where[0])
+    if adopted:
+        port = reactor.adoptStreamPort(adopted.fileno(), socket.AF_INET, factory)
+        adopted.close()
+        return port
+    return reactor.listenTCP(where[1], factory, backlog=MOST_CALLERS, interface=where[0])
 
 
 def main() -> int:
@@ -83,14 +178,10 @@
     try:
         told = start.read()
         program = Program(told)
-        clients: Any = Clients(program.proxy)
-        listener: Any = Listener(told.listen[1], clients, BACKLOG, told.listen[0], reactor)
-        # An upgrade's second process listens beside this one.
-        listener._reusePort = bool(told.mgmt)
-        program.proxy.door.listeners.append(listener)
         if told.mgmt:
-            open_for_operators(program.proxy, told.mgmt)
-        listener.startListening()
+            program.begin_beside(told.mgmt)
+        else:
+            program.begin()
     except UnfitError as unfit:
         print(f"brambleplank: {unfit}", file=sys.stderr)
         return 2
--- a/brambleplank/rotation.py
+++ b/brambleplank/rotation.py
@@ -61,20 +61,28 @@
         self.known(server_id)
         self.out.setdefault(server_id, now)
         self.back.pop(server_id, None)
-        return self.laid_over(self.listed[server_id])
+        return self.as_told(server_id)
 
     def call_back(self, now: float, server_id: str) -> Entry:
         """It is in use again, however often it was called out; what to tell of it. Raises UnlistedError."""
         self.known(server_id)
         if server_id in self.out:
             self.back[server_id] = self.out.pop(server_id), now
-        return self.laid_over(self.listed[server_id])
+        return self.as_told(server_id)
+
+    def as_told(self, server_id: str) -> Entry:
+        return self.laid_over(self.listed.get(server_id) or unlisted(server_id))
 
     def known(self, server_id: str) -> None:
-        if server_id not in self.listed:
+        if server_id not in self.listed and server_id not in self.out:
             raise UnlistedError(server_id)
 
 
 def gone(entry: Entry) -> Entry:
     server_id, zone, cell, _, size, started = entry
     return server_id, zone, cell, Condition.GONE, size, started
+
+
+def unlisted(server_id: str) -> Entry:
+    """A server of which no more than its name is known: it was listed once, or is out by an older word."""
+    return server_id, "", 0, Condition.GONE, 1.0, 0.0
--- a/brambleplank/sources/platform/discovery.py
+++ b/brambleplank/sources/platform/discovery.py
@@ -44,6 +44,19 @@
         raise GarbledError(f"{type(error).__name__} {error}") from None
 
 
+def written(version: int, entries: list[Entry], addresses: dict[str, Address]) -> dict[str, Any]:
+    """A whole list in the form that `list_of` reads."""
+    words = {condition: word for word, condition in CONDITIONS.items()}
+    hosts = [
+        {
+            "host": server_id, "dial": ":".join(map(str, addresses[server_id])), "site": zone, "block": cell,
+            "health": words[condition], "share": size, "born_ms": started * 1000,
+        }
+        for server_id, zone, cell, condition, size, started in entries
+    ]
+    return {"seq": version, "whole": True, "hosts": hosts}
+
+
 class Watch(LineReceiver, TimeoutMixin):
     """One open watch."""
 
@@ -100,6 +113,7 @@
         self.at(address)
 
     def at(self, address: tuple[str, int]) -> None:
+        self.address = address
         self.agent = Agent.usingEndpointFactory(reactor, Straight(SILENT_AFTER))
         self.url = b"http://%s:%d/discovery/hosts?watch=1" % (address[0].encode(), address[1])
 
@@ -127,10 +141,13 @@
             if watch.transport is not None:
                 watch.transport.loseConnection()
 
-    def begin(self, told: Any) -> None:
-        """Takes up the list as this proxy last had it."""
-        self.version, _, entries, addresses = list_of(told)
-        self.newest = self.version or 0
+    def begin(self, told: Any, teller: tuple[str, int] | None = None) -> None:
+        """Takes up the list as this proxy last had it.
+
+        Danger: told by discovery at another address, its version may say nothing here.
+        """
+        self.newest, _, entries, addresses = list_of(told)
+        self.version = self.newest if teller in (None, self.address) else None
         self.proxy.list_told(entries, addresses, True)
 
     def follow(self) -> None:
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import copy
 import json
 import os
 import queue
@@ -334,7 +335,8 @@
         self.config, self.path = config, folder / "config.json"
         self.path.write_text(json.dumps(config))
         self.lines: list[str] = []
-        self.flows = 0
+        self.flows = count(1)
+        self.later: list[Program] = []  # the processes after it
         self.begin(folder, patch)
 
     def begin(self, folder: Path, patch: str) -> None:
@@ -371,8 +373,18 @@
         return caller
 
     def opening(self, key: str = "7f", d: int = 1500, kind: str = "feed", more: str = "") -> Line:
-        self.flows += 1
-        return self.caller(f"OPEN 9b1f03aa5c7e{self.flows:04x} {key} c={kind},t=acme,d={d}{more}")
+        return self.caller(f"OPEN 9b1f03aa5c7e{next(self.flows):04x} {key} c={kind},t=acme,d={d}{more}")
+
+    def upgrade(self, patch: str = "", **changes: Any) -> Program:
+        """The next process of the same proxy, begun beside this one; operators call it elsewhere."""
+        after = copy.copy(self)
+        self.later.append(after)
+        after.config = {**self.config, "mgmt": ":".join(map(str, spare_address())), **changes}
+        after.path = self.path.with_name(f"config{len(self.later)}.json")
+        after.path.write_text(json.dumps(after.config))
+        after.lines = []
+        after.begin(self.path.parent, patch)
+        return after
 
     def read_again(self, text: str = "", **changes: Any) -> str:
         """What it says of SIGHUP, with a changed file, or with whatever text in its place."""
@@ -450,7 +462,7 @@
         if not name.startswith(("ROUTER_", "BRAMBLEPLANK_"))
     }
     if config:
-        given["ROUTER_CONFIG"] = str(config)
+        given["ROUTER_CONFIG"], given["TMPDIR"] = str(config), str(config.parent)
     what = ["-c", code] if code else ["-m", "brambleplank"]
     return subprocess.Popen([sys.executable, "-B", *what], env=given, stderr=subprocess.PIPE, text=True)
 
@@ -464,7 +476,7 @@
         return programs[-1]
 
     yield begin
-    for program in programs:
+    for program in [each for first in programs for each in (first, *first.later)]:
         program.process.kill()
         program.process.wait()
 
--- a/tests/test_consul.py
+++ b/tests/test_consul.py
@@ -380,6 +380,8 @@
     assert word not in words(program, 40) and owner.count == count
     standing.say("M 1")
     assert there.hear() == "M 1"
+    there.say("M 1")  # a line left without an answer would show a strained server, whose clients are moved
+    assert standing.hear() == "M 1"
     agents.do(agent, "lift", server)
     program.line("ready size=1 as passing")
     assert word in words(program, 40, 100)
@@ -388,6 +390,8 @@
         program.line("draining" if what == "critical" else "gone")
         standing.say(what)  # no word of the catalogue alone ends what stands
         assert there.hear() == what
+        there.say(what)
+        assert standing.hear() == what
 
 
 def test_an_agent_that_restarts_mid_watch_with_a_lower_index_costs_no_server(
--- a/tests/test_operating.py
+++ b/tests/test_operating.py
@@ -24,8 +24,11 @@
 
 def caller(program: Program) -> Line:
     host, port = program.config["mgmt"].rsplit(":", 1)
-    program.caller().end()  # it is up
-    return Line(socket.create_connection((host, int(port))))
+    while True:
+        try:
+            return Line(socket.create_connection((host, int(port))))
+        except ConnectionRefusedError:
+            assert program.process.poll() is None, program.log()  # not up yet
 
 
 def call(program: Program, path: str, method: str = "PUT") -> int:
--- a/tests/test_sockets.py
+++ b/tests/test_sockets.py
@@ -191,6 +191,8 @@
         old = watch
         client.say("M 1")
         assert there.hear() == "M 1"
+        there.say("M 1")  # a line left without an answer would show a strained server
+        assert client.hear() == "M 1"
         assert program.opening().hear() == "UP r1"
     said = program.stop().partition("stop: ")[0]
     assert "list: " not in said and "fault" not in said
--- /dev/null
+++ b/tests/test_upgrade.py
@@ -0,0 +1,242 @@
+"""A second process beside the first: what an upgrade may not cost, whatever becomes of either."""
+
+from __future__ import annotations
+
+import json
+import signal
+import threading
+import time
+from collections.abc import Callable
+from pathlib import Path
+
+import pytest
+
+from tests.conftest import Line, Program, Server
+from tests.test_operating import call, operated
+
+Run = Callable[..., Program]
+
+
+def ready(program: Program) -> Program:
+    """The process, once it says that it is ready."""
+    while call(program, "/-/ready", "GET") != 200:
+        pass
+    return program
+
+
+def leave(program: Program) -> str:
+    """It is told to leave, and leaves with 0; what it logged."""
+    said = program.stop()
+    assert program.process.returncode == 0, said
+    return said
+
+
+class Talker(threading.Thread):
+    """Connects, talks a little, ends, and so on; and one that is moved comes again."""
+
+    def __init__(self, program: Program, key: str) -> None:
+        super().__init__(daemon=True)
+        self.program, self.key, self.going = program, key, True
+        self.answers: dict[str, int] = {}
+
+    def run(self) -> None:
+        while self.going:
+            client = self.program.opening(self.key)
+            answer = client.hear()
+            for _ in range(20 if answer.startswith("UP ") else 0):
+                client.say("M 1")
+                answer = client.hear()
+                if answer != "M 1":
+                    break
+                time.sleep(0.01)  # as a client does; and nobody reads the log meanwhile
+            self.answers[answer] = self.answers.get(answer, 0) + 1
+            client.conn.close()
+
+
+class Echo(Server):
+    """A server that sends each line back."""
+
+    def serve(self, line: Line) -> None:
+        if line.hear().startswith("OPEN "):
+            self.count += 1
+            line.say(str(self.answer))
+            while (said := line.hear()) not in ("", "reset"):
+                line.say(said)
+
+
+def test_clients_come_and_talk_through_upgrades_in_a_row_and_bans_hold_over_all_of_them(run: Run) -> None:
+    one, other = Echo("UP one"), Echo("UP other")
+    program = operated(run, one, other)
+    ready(program)
+    talkers = [Talker(program, f"{key:x}") for key in range(6)]
+    for talker in talkers:
+        talker.start()
+    old, banned = program, 0
+    for turn in range(3):
+        if turn == 1:
+            assert call(old, "/-/servers/s0/disable") == 200
+            time.sleep(0.1)
+            banned = one.count
+        new = ready(old.upgrade())
+        said = leave(old)
+        assert "upgrade: listen handed to the next process" in said
+        assert "end rejected" not in said and "end idle" not in said and "fault" not in said
+        old = new
+    assert one.count == banned and call(old, "/-/servers/s0/enable") == 200
+    until = time.monotonic() + 15.0
+    while one.count == banned:
+        assert time.monotonic() < until
+    for talker in talkers:
+        talker.going = False
+    for talker in talkers:
+        talker.join()
+    assert set().union(*(talker.answers for talker in talkers)) <= {"M 1", "MOVE"}
+    assert "upgrade: taken over\n" in old.stop()
+
+
+@pytest.mark.parametrize("at", ["old", "new"])
+def test_a_word_at_either_process_binds_both_and_a_drain_too(run: Run, at: str) -> None:
+    one, other = Server("UP one"), Server("UP other")
+    program = operated(run, one, other)
+    old = ready(program)
+    new = ready(old.upgrade())
+    said_at = old if at == "old" else new
+    assert call(said_at, "/-/servers/s0/disable") == 200
+    assert "operator: s0 out" in (new if at == "old" else old).line("operator: ")
+    assert {program.opening(f"{key:x}").hear() for key in range(8)} == {"UP other"}
+    assert call(said_at, "/-/drain") == 200
+    old.line("operator: drain")
+    new.line("operator: drain")
+    assert program.caller("PING").hear() == "NO"
+    leave(old)
+    assert call(new, "/-/resume") == 200 and program.caller("PING").hear() == "PONG"
+
+
+def test_if_the_next_process_dies_the_first_takes_clients_in_again(run: Run) -> None:
+    program = operated(run, Server())
+    stays = program.opening()
+    assert stays.hear() == "UP r1"
+    for how in (signal.SIGKILL, signal.SIGTERM):
+        new = ready(program.upgrade())
+        assert program.opening().hear() == "UP r1"
+        new.process.send_signal(how)
+        program.line("the next process is gone")
+        assert program.opening().hear() == "UP r1" and program.caller("PING").hear() == "PONG"
+    stays.say("M 1")
+    assert "fault" not in program.stop() and stays.hear() == "MOVE"
+
+
+def test_a_first_that_is_killed_early_costs_only_its_own_connections(run: Run) -> None:
+    one, other = Server("UP one"), Server("UP other")
+    program = operated(run, one, other)
+    ready(program)
+    lost = program.opening()
+    assert lost.hear().startswith("UP ")
+    assert call(program, "/-/servers/s1/disable") == 200
+    new = ready(program.upgrade())
+    kept = program.opening()
+    assert kept.hear() == "UP one"
+    program.process.kill()
+    assert lost.hear() in ("", "reset")
+    new.line("the process before is gone")
+    assert {program.opening(f"{key:x}").hear() for key in range(8)} == {"UP one"}
+    kept.say("M 1")
+    assert kept.conn.getpeername()
+
+
+def test_a_first_that_is_hung_is_waited_for_a_little_and_its_bans_are_read_from_the_file(run: Run) -> None:
+    one, other = Server("UP one"), Server("UP other")
+    program = ready(operated(run, one, other))
+    assert call(program, "/-/servers/s1/disable") == 200
+    program.process.send_signal(signal.SIGSTOP)
+    new = ready(program.upgrade())
+    new.line("upgrade: taken over nothing")
+    program.process.kill()
+    program.process.wait()
+    assert {program.opening(f"{key:x}").hear() for key in range(8)} == {"UP one"}
+
+
+@pytest.mark.parametrize("left", ["socket", "folder", "words", "list", "text"])
+def test_what_lies_about_in_the_folder_never_stops_a_start(run: Run, tmp_path: Path, left: str) -> None:
+    program = operated(run, Server())
+    ready(program)
+    program.process.kill()
+    program.process.wait()
+    here, words = sorted(tmp_path.glob("brambleplank-*.sock")), tmp_path / "brambleplank-%s-%d.words"
+    path = Path(str(words) % program.listen)
+    if left == "folder":
+        here[0].unlink()
+        here[0].mkdir()
+    elif left != "socket":
+        texts = {"words": '{"out": {"s0": ', "list": "[1]", "text": '{"out": {"s0": "x"}, "back": {}}'}
+        path.write_text(texts[left])
+    new = ready(program.upgrade())
+    assert program.opening().hear() == "UP r1"
+    said = new.stop()
+    assert ("passed over" in said) == (left in ("words", "list", "text"))
+
+
+OLD = """
+import json, socket, threading
+from brambleplank.platform import handover
+def old(self, channel, message):
+    channel.transport.write({answer!r})
+    {then}
+handover.Handover.give = old
+"""
+
+
+@pytest.mark.parametrize(
+    ("answer", "then"),
+    [
+        (b'{"say":"estate","form":9,"sockets":[],"estate":{}}\n', ""),
+        (b'{"say":"estate","form":1,"sockets":["listen"],"estate":{}}\n', ""), (b"[1]\n", ""),
+        (b"\xff\n", ""),
+        (b'{"say":"est', "channel.transport.loseConnection()"), (b'{"say":"est', ""),
+        (b"", "import os, signal; os.kill(os.getpid(), signal.SIGKILL)"),
+    ],
+    ids=range(7),
+)
+def test_a_first_of_another_version_or_that_ends_amid_it_does_not_keep_the_next_from_serving(
+    run: Run, answer: bytes, then: str
+) -> None:
+    server = Server()
+    program = operated(run, server, patch=OLD.format(answer=answer, then=then))
+    ready(program)
+    new = ready(program.upgrade())
+    assert "upgrade: " in new.line("upgrade: ")
+    program.process.kill()
+    program.process.wait()
+    assert program.opening().hear() == "UP r1"
+    assert "Traceback" not in new.stop()
+
+
+def test_ids_in_use_descriptors_and_who_drains_are_known_to_the_next_process(run: Run) -> None:
+    one, other = Server("UP one"), Server("UP other")
+    program = operated(run, one, other)
+    clients = [program.opening(f"{key:x}") for key in range(8)]
+    assert {client.hear() for client in clients} == {"UP one", "UP other"}
+    program.tell(s0=(one.dial, "draining"), s1=other.dial)
+    while program.opening("ab").hear() != "UP other" or program.opening("cd").hear() != "UP other":
+        pass
+    new = ready(program.upgrade(known={"seq": 41, "whole": True, "hosts": []}))
+    assert {program.opening(f"{key:x}").hear() for key in range(8)} == {"UP other"}
+    assert program.caller("OPEN 9b1f03aa5c7e0001 7f c=feed,t=acme,d=900").hear() == "ERR"
+    assert "from=101" in program.discovery.asked.get(timeout=15)[0]
+    leave(program)
+    assert json.loads(new.path.read_text())["known"]["hosts"] == []
+
+
+def test_a_first_that_cannot_share_its_address_is_waited_for(run: Run) -> None:
+    patch = """
+import os
+del os.environ["TMPDIR"]
+from twisted.internet import tcp
+tcp.Port._reusePort = property(lambda self: False, lambda self, value: None)
+"""
+    program = operated(run, Server(), patch=patch)
+    assert program.opening().hear() == "UP r1"
+    new = program.upgrade()
+    leave(program)
+    ready(new)
+    assert program.opening().hear() == "UP r1"
