Standing connections go along to the next process; nothing is moved in an upgrade

Need and way: docs/design/operating.md. fronts/line/carry gives a connection up as it is and takes one on; the channel carries it with its sockets, sixteen under way at most, each acknowledged; what is not established yet follows once it is. Cause of a fault met on the way: a connection from before the start has an unanswered flow, whose end was told as not complete, so it was placed again; it is complete now, and the story has such connections. One story of this commit (who stands at a server that is out) still hangs at times.

--- /dev/null
+++ b/brambleplank/fronts/line/carry.py
@@ -0,0 +1,168 @@
+"""A client's connection and its server's go from one process of a proxy to the next, and neither notices.
+
+What goes along beside the sockets is what a process holds of them: the opening, where it stands, since when
+a line waits for its answer, and bytes that are half a line yet or not written yet. Only one goes along that
+is established, or has not said all of its opening; a connect whose answer is out belongs to who made it.
+"""
+
+from __future__ import annotations
+
+import os
+import socket
+from collections.abc import Iterable
+from contextlib import suppress
+from dataclasses import asdict
+from typing import Any
+
+from brambleplank.checks import UnfitError, need
+from brambleplank.fronts.line import opening
+from brambleplank.fronts.line.clients import FIRST_LINE_WITHIN, Client
+from brambleplank.fronts.line.connects import Line
+from brambleplank.host import Effect, ServiceType
+from brambleplank.net.buffers import Incoming
+from brambleplank.net.loop import reactor
+from brambleplank.net.proxy import Proxy
+from brambleplank.net.reach import reach_of
+
+TEXT = "latin-1"  # any bytes as a text of JSON
+
+
+def ready(client: Client) -> bool:
+    """Whether it may go along now."""
+    if client.done or client.transport is None:
+        return False
+    connect = client.standing
+    if connect is None:
+        return not client.line
+    return connect.up and not connect.over and client.flow is not None
+
+
+def leave(client: Client) -> tuple[dict[str, Any], list[int]]:
+    """What the next process needs of it, and its descriptors; this process has no part in it any more."""
+    proxy, connect = client.proxy, client.standing
+    client.setTimeout(None)
+    sides = [client.transport] if connect is None else [client.transport, connect.transport]
+    halves = [side.protocol.clearLineBuffer().decode(TEXT) for side in sides]
+    numbers, unsent = [], []
+    for side in sides:
+        numbers.append(side.detach())
+        unsent.append(side.unsent().decode(TEXT))
+        proxy.door.held(-1)
+    since = proxy.door.waiting.get(client, 0.0)
+    told: dict[str, Any] = {"halves": halves, "unsent": unsent, "since": since, "pinged": client.pinged}
+    if connect is not None and client.flow is not None:
+        told.update(
+            id=client.id, line=client.line.decode(TEXT), came=client.came, server=connect.reach.name,
+            kind=kind_told(client.flow.service_type), asked=connect.asked, last=connect.last.decode(TEXT),
+        )
+        connect.over = True
+        proxy.handed_on(connect)
+        proxy.door.over(client.id)
+    client.done = "handed"
+    proxy.gone(client)
+    return told, numbers
+
+
+def kind_told(kind: ServiceType) -> dict[str, Any]:
+    return {**asdict(kind), "effect": kind.effect.value}
+
+
+def kind_of(told: Any) -> ServiceType:
+    """Raises UnfitError."""
+    need(told, "kind", dict)
+    try:
+        return ServiceType(**{**told, "effect": Effect(told.get("effect"))})
+    except (TypeError, ValueError) as error:
+        raise UnfitError(f"kind: {error}") from None
+
+
+def take_on(proxy: Proxy, told: dict[str, Any], numbers: list[int]) -> None:
+    """Goes on with a connection that another process of this proxy held. Raises UnfitError."""
+    try:
+        for key, kind in (("halves", list), ("unsent", list), ("since", float), ("pinged", bool)):
+            need(told.get(key), key, kind)
+        if "line" in told:
+            stands(proxy, told, numbers)
+        else:
+            waits(proxy, told, numbers)
+    except (OSError, IndexError, AttributeError, TypeError, UnicodeError) as error:
+        # Danger: one that ended on the way has no peer any more; it must not keep the others from going on.
+        raise UnfitError(f"a connection that was handed on: {type(error).__name__} {error}") from None
+    finally:
+        close(numbers)
+
+
+def waits(proxy: Proxy, told: dict[str, Any], numbers: list[int]) -> None:
+    """It has not said all of its opening yet."""
+    client = Client(proxy)
+    client.pinged = told["pinged"]
+    adopt(client, numbers[0])
+    since = min(proxy.clock.now(), told["since"])
+    proxy.door.waiting[client] = since
+    client.setTimeout(max(0.05, since + FIRST_LINE_WITHIN - proxy.clock.now()))
+    go_on(client, told, 0)
+
+
+def stands(proxy: Proxy, told: dict[str, Any], numbers: list[int]) -> None:
+    for key in ("id", "line", "server", "last"):
+        need(told.get(key), key, str)
+    for key in ("came", "asked"):
+        need(told.get(key), key, float)
+    line = told["line"].encode(TEXT)
+    opened = opening.form(line)
+    if opened is None:
+        raise UnfitError(f"line: {line[:60]!r}")
+    kind = kind_of(told.get("kind"))
+    _, key_, fields = opened
+    now = proxy.clock.now()
+    server = proxy.balancer.record(now, told["server"])
+    client = Client(proxy)
+    client.line, client.id, client.came = line, told["id"], told["came"]
+    connect = Line(proxy, client, 0, reach_of(server))
+    connect.up, connect.asked, connect.last = True, told["asked"], told["last"].encode(TEXT)
+    client.connects.append(connect)
+    group = int(fields["g"], 16) if proxy.terms.groups and "g" in fields else None
+    client.at = kind, key_, group, server
+    adopt(client, numbers[0])
+    client.setTimeout(None)
+    proxy.door.taken_on(client, client.id)
+    proxy.clients[client] = None
+    try:
+        adopt(connect, numbers[1])
+    except OSError:
+        client.finish("broke")  # its server ended it on the way
+        raise
+    client.join(connect)
+    proxy.stands(connect)
+    go_on(client, told, 0)
+    go_on(connect, told, 1)
+
+
+def adopt(protocol: Client | Line, number: int) -> None:
+    """Raises OSError where the other side has ended it."""
+    make: Any = Incoming._fromConnectedSocket
+    make(number, socket.AF_INET, Made(protocol), reactor)
+
+
+def go_on(protocol: Client | Line, told: dict[str, Any], side: int) -> None:
+    """What was half read is half read here, what was not written yet is written."""
+    if told["unsent"][side]:
+        protocol.transport.write(told["unsent"][side].encode(TEXT))
+    if told["halves"][side]:
+        protocol.dataReceived(told["halves"][side].encode(TEXT))
+
+
+class Made:
+    """Stands for a factory of one protocol that there is already."""
+
+    def __init__(self, protocol: Client | Line) -> None:
+        self.protocol = protocol
+
+    def buildProtocol(self, addr: object) -> Client | Line:  # noqa: N802
+        return self.protocol
+
+
+def close(numbers: Iterable[int]) -> None:
+    for number in numbers:
+        with suppress(OSError):
+            os.close(number)
--- a/brambleplank/fronts/line/clients.py
+++ b/brambleplank/fronts/line/clients.py
@@ -108,14 +108,20 @@
     # What the proxy asks.
 
     def dial(self, reach: Reach, wait: float) -> None:
-        self.connects.append(Line(self.proxy, self, len(self.connects), reach, wait))
+        connect = Line(self.proxy, self, len(self.connects), reach)
+        self.connects.append(connect)
+        connect.dial(wait)
 
     def stand(self, connect: Line, line: bytes) -> None:
-        """A server has answered UP: all lines go through from here on."""
+        """A server has answered UP."""
+        self.join(connect)
+        self.sendLine(line)
+
+    def join(self, connect: Line) -> None:
+        """All lines go through from here on."""
         self.standing = connect
         self.transport.registerProducer(Tap(connect.transport), True)
         connect.transport.registerProducer(Tap(self.transport), True)
-        self.sendLine(line)
 
     def reject(self, pause: float) -> None:
         self.finish("rejected", b"BUSY %d" % round(pause * 1000) if pause else b"BUSY")
--- a/brambleplank/fronts/line/connects.py
+++ b/brambleplank/fronts/line/connects.py
@@ -47,23 +47,27 @@
     noisy = False
     transport: Any = None
 
-    def __init__(self, proxy: Proxy, client: LineClient, number: int, reach: Reach, wait: float) -> None:
+    def __init__(self, proxy: Proxy, client: LineClient, number: int, reach: Reach) -> None:
         self.proxy = proxy
         self.client = client
         self.number = number
         self.reach = reach
         self.sent = proxy.clock.now()
-        patience = b"d=%d" % max(1, round(wait * 1000))
-        self.line = WAIT.sub(patience, client.line, count=1) if wait else client.line
+        self.line = client.line
         self.up = self.over = False
         self.asked = 0.0  # when the oldest line without an answer was passed on
         self.last = b""
         self.timer: DelayedCall | None = None
         self.connector: Dialer | None = None
-        if reach.address is None:
+
+    def dial(self, wait: float) -> None:
+        proxy = self.proxy
+        if wait:
+            self.line = WAIT.sub(b"d=%d" % max(1, round(wait * 1000)), self.line, count=1)
+        if self.reach.address is None:
             self.timer = proxy.clock.later(0, self.end, End.UNREACHABLE)
             return
-        host, port = reach.address
+        host, port = self.reach.address
         self.connector = Dialer(host, port, self, proxy.terms.connect_within, None, reactor)
         self.timer = proxy.clock.later(wait or STAND_WITHIN, self.time_up)
         proxy.door.held(1)
@@ -85,7 +89,9 @@
 
     def connectionMade(self) -> None:  # noqa: N802
         self.transport.setTcpNoDelay(True)
-        if self.over:
+        if self.up:  # another process of this proxy made it, and it stands
+            self.proxy.door.held(1)
+        elif self.over:
             self.transport.abortConnection()
         else:
             self.sendLine(self.line)
--- a/brambleplank/fronts/line/opening.py
+++ b/brambleplank/fronts/line/opening.py
@@ -15,7 +15,13 @@
 
 
 def read(line: bytes, terms: Terms) -> tuple[str, int, dict[str, str]] | None:
-    """Its id, key and fields; None if it is no opening that a server here could use.
+    """Its id, key and fields; None if it is no opening that a server here could use."""
+    found = form(line)
+    return found if found and serves(found[2], terms) else None
+
+
+def form(line: bytes) -> tuple[str, int, dict[str, str]] | None:
+    """The same whatever the site has.
 
     Danger: a server reads the line too, and otherwise than we do; what it cannot use it answers with an error
     or a close, which would look like a fault of its own. So each field is in form, and none comes twice.
@@ -31,7 +37,7 @@
         if field[1] in FORMS and not FORMS[field[1]].fullmatch(field[2]):
             return None
         fields[field[1]] = field[2]
-    return (match[1], int(match[2], 16), fields) if serves(fields, terms) else None
+    return match[1], int(match[2], 16), fields
 
 
 def serves(fields: dict[str, str], terms: Terms) -> bool:
--- a/brambleplank/net/buffers.py
+++ b/brambleplank/net/buffers.py
@@ -73,6 +73,22 @@
         if self.dataBuffer or self._tempDataLen:  # type: ignore[attr-defined]
             reactor.callLater(LINGER, self.abortConnection)  # type: ignore[attr-defined]
 
+    def detach(self) -> int:
+        """Gives the socket up as it is: its descriptor, which is the caller's from here on.
+
+        Danger: what is still watched here would be read here, and a shutdown would end it for everyone.
+        """
+        self.unregisterProducer()  # type: ignore[attr-defined]
+        self.stopReading()  # type: ignore[attr-defined]
+        self.stopWriting()  # type: ignore[attr-defined]
+        self.connected, self.disconnected = 0, 1
+        return self.socket.detach()
+
+    def unsent(self) -> bytes:
+        """What was not written yet."""
+        whole: Any = self
+        return bytes(whole.dataBuffer[whole.offset :]) + b"".join(whole._tempDataBuffer)
+
     def _closeSocket(self, orderly: bool) -> None:  # noqa: N802
         super()._closeSocket(orderly and not self.resetting)  # type: ignore[misc]
 
--- a/brambleplank/net/door.py
+++ b/brambleplank/net/door.py
@@ -65,6 +65,12 @@
         """Ids of flows at another process of this proxy."""
         self.used_ids.update(dict.fromkeys(flow_ids, self.clock.now() + IDS_KEPT))
 
+    def taken_on(self, client: Client, flow_id: str) -> None:
+        """A flow that began at another process goes on here."""
+        self.waiting.pop(client, None)
+        self.used_ids.pop(flow_id, None)
+        self.open_ids.add(flow_id)
+
     def over(self, flow_id: str) -> None:
         self.open_ids.discard(flow_id)
         self.used_ids[flow_id] = self.clock.now() + IDS_KEPT
--- a/brambleplank/net/proxy.py
+++ b/brambleplank/net/proxy.py
@@ -49,6 +49,7 @@
         self.rotation = Rotation()
         self.serving = self.stopping = self.draining = False
         self.succeeded = False  # another process of this proxy takes the clients in, and speaks for it
+        self.hand_on: Callable[[Client], None] = lambda client: None  # to that process, if it may go along
         self.heard_word: Callable[[str, str], None] = lambda what, server_id: None  # an operator's
         self.emptied: Callable[[], None] = lambda: None  # called once a planned stop has emptied it
         self.clients: dict[Client, None] = {}
@@ -123,6 +124,8 @@
 
     def stands(self, connect: Connect) -> None:
         client, now = connect.client, self.clock.now()
+        if self.stopping and self.succeeded:
+            self.clock.later(0, self.hand_on, client)
         if client.at:
             kind, key, group, server = client.at
             client.flow = self.balancer.flow(now, client, kind, key, group, now, False, False, server)
@@ -130,6 +133,14 @@
         if client.flow:
             self.balancer.established(now, client.flow, connect.number, now - connect.sent)
 
+    def handed_on(self, connect: Connect) -> None:
+        """Another process of this proxy goes on with an established connection."""
+        flow, now = connect.client.flow, self.clock.now()
+        if flow:
+            self.balancer.connect_ended(
+                now, flow, connect.number, End.CANCELLED, now - connect.sent, complete=True
+            )
+
     def connect_over(self, connect: Connect, end: End, reset: bool) -> None:
         client, now = connect.client, self.clock.now()
         if connect.up:
@@ -192,7 +203,8 @@
         for server_id, where in addresses.items():
             reach_of(self.balancer.record(now, server_id)).address = where
         self.tell(self.rotation.told(entries, whole), whole)
-        self.serving = self.serving or bool(self.balancer.ready)
+        # Also where operators have all of them out: flows are answered at once, which is to serve.
+        self.serving = self.serving or any(entry[3] is Condition.READY for entry in entries)
 
     def tell(self, entries: list[Entry], whole: bool) -> None:
         self.balancer.list_told(self.clock.now(), entries, whole)
@@ -342,6 +354,9 @@
         self.log_lines.say("stop: told to leave")
         self.balancer.stop(self.clock.now())
         self.clock.later(LOOK if self.succeeded else LAST_COME, self.empty)
+        if self.succeeded:
+            for client in [*self.clients, *self.door.waiting]:
+                self.hand_on(client)
 
     def empty(self) -> None:
         # Danger: who has connected and not said all yet would be cut off; nobody waits longer than this.
--- a/brambleplank/platform/estate.py
+++ b/brambleplank/platform/estate.py
@@ -43,6 +43,7 @@
     out: dict[str, float] = field(default_factory=dict)  # as in `Rotation`
     back: dict[str, tuple[float, float]] = field(default_factory=dict)
     draining: bool = False
+    serving: bool = False
     started: float = 0.0
     of_all: dict[str, float] = field(default_factory=dict)
     failing: float = 0.0
@@ -70,7 +71,8 @@
         "list": written(discovery.newest, entries, addresses),
         "discovery": text_of(discovery.address),
         "once": [e[0] for e in rotation.listed.values() if e[3] is Condition.GONE],
-        "out": rotation.out, "back": rotation.back, "draining": proxy.draining, "started": proxy.started,
+        "out": rotation.out, "back": rotation.back, "draining": proxy.draining,
+        "serving": proxy.serving, "started": proxy.started,
         "all": {name: getattr(balancer, name) for name in OF_ALL},
         "failing": balancer.gate.failing,
         "window": balancer.gate.window if isfinite(balancer.gate.window) else None,
@@ -103,7 +105,8 @@
         list_of(listed)
     except GarbledError as error:
         raise UnfitError(f"estate.list: {error}") from None
-    need(value("draining"), "estate.draining", bool)
+    for key in ("draining", "serving"):
+        need(value(key), f"estate.{key}", bool)
     need(value("all"), "estate.all", dict)
     window, homes = value("window"), items(value("homes"), "estate.homes")
     estate = Estate(
@@ -113,6 +116,7 @@
         out=each(value("out"), "estate.out", number),
         back=each(value("back"), "estate.back", two),
         draining=value("draining"),
+        serving=value("serving"),
         started=number(value("started"), "estate.started"),
         of_all={name: number(value("all").get(name), f"estate.all.{name}", -1) for name in OF_ALL},
         failing=number(value("failing"), "estate.failing"),
@@ -185,7 +189,7 @@
     proxy.rotation.out, proxy.rotation.back = dict(estate.out), dict(estate.back)
     proxy.rotation.told([unlisted(server_id) for server_id in estate.once], False)
     discovery.begin(estate.listed, estate.discovery)
-    proxy.started = estate.started
+    proxy.started, proxy.serving = estate.started, estate.serving
     for name, value in estate.of_all.items():
         setattr(balancer, name, value)
     balancer.gate.failing, balancer.gate.window = estate.failing, estate.window
@@ -200,6 +204,9 @@
     for spot, server_id, until in estate.homes:
         if server_id in balancer.servers:
             balancer.homes_told[spot] = balancer.servers[server_id], until
+    for server_id in estate.out:
+        if server_id in balancer.servers:
+            balancer.empty(now, balancer.servers[server_id])  # what stands there comes along, and is moved
     proxy.door.in_use_elsewhere(estate.ids)
     if estate.draining:
         proxy.draining = True
--- a/brambleplank/platform/handover.py
+++ b/brambleplank/platform/handover.py
@@ -10,6 +10,8 @@
     here     new to old: it listens
     holds    either: descriptors, connections by server, ids of flows that began since the estate
     word     either: what an operator said, and of which server
+    flow     old to new, once it is told to leave: a connection that goes along with its sockets (`carry.py`)
+    had      new to old: it goes on there
 
 Every wait is bounded, and whatever is wrong with the other side only costs what it would have told.
 """
@@ -20,27 +22,34 @@
 import os
 import socket
 import time
-from collections.abc import Callable
+from collections import deque
+from collections.abc import Callable, Iterable
 from contextlib import suppress
 from dataclasses import dataclass, field
 from typing import Any
 
 from twisted.internet import unix
+from twisted.internet.interfaces import IFileDescriptorReceiver
 from twisted.internet.protocol import Factory, connectionDone
 from twisted.protocols.basic import LineReceiver
 from twisted.python.failure import Failure
+from zope.interface import implementer  # type: ignore[import-untyped]
 
 from brambleplank.checks import UnfitError, need
+from brambleplank.fronts.line import carry
+from brambleplank.fronts.line.clients import Client as LineClient
 from brambleplank.net.loop import reactor
 from brambleplank.net.proxy import Proxy
 from brambleplank.platform import estate
 from brambleplank.rotation import Rotation, unlisted
+from brambleplank.seams import Client
 from brambleplank.sources.platform.discovery import Discovery
 
 ASKED_WITHIN = 2.0  # seconds for the process before to hand over; it may be hung
 HOLDS_EVERY = 0.1  # seconds
 LONGEST = 16 * 1024 * 1024  # bytes of a line
 MOST_SOCKETS = 4
+MOST_UNDER_WAY = 16  # connections, each with one or two sockets
 RESERVED = 4  # descriptors: the socket here, the channels, one that is just coming
 OUT, BACK, DRAIN, RESUME = "out", "back", "drain", "resume"
 Address = tuple[str, int]
@@ -193,6 +202,7 @@
             self.say(f"operator: {self.path}: not written: {error.strerror}")
 
 
+@implementer(IFileDescriptorReceiver)
 class Channel(LineReceiver):
     """One end of the channel; `after` if the other end is the process after this one."""
 
@@ -205,15 +215,24 @@
         self.descriptors = 0  # that the other process holds, by its last word
         self.told: dict[str, Any] = {}  # what it was last told that this one holds
         self.ids: set[str] = set()  # that it knows of
+        self.came: list[int] = []  # descriptors ahead of their line
+        self.under_way: deque[list[int]] = deque()  # handed on and not acknowledged, oldest first
+        self.to_hand_on: dict[Client, None] = {}
 
     def connectionMade(self) -> None:  # noqa: N802
         if not self.after:
             self.say({"say": "here"})
             self.handover.joined(self)
 
-    def say(self, message: dict[str, Any]) -> None:
+    def say(self, message: dict[str, Any], descriptors: Iterable[int] = ()) -> None:
+        for descriptor in descriptors:
+            self.transport.sendFileDescriptor(descriptor)
         self.transport.write(line_of(message))
 
+    def fileDescriptorReceived(self, descriptor: int) -> None:  # noqa: N802
+        os.set_inheritable(descriptor, False)
+        self.came.append(descriptor)
+
     def lineReceived(self, line: bytes) -> None:  # noqa: N802
         try:
             self.handover.heard(self, message_of(line))
@@ -225,6 +244,8 @@
         self.transport.loseConnection()
 
     def connectionLost(self, reason: Failure = connectionDone) -> None:  # noqa: N802
+        for numbers in (self.came, *self.under_way):
+            carry.close(numbers)
         self.handover.parted(self)
 
 
@@ -251,9 +272,10 @@
         self.sockets: dict[str, tuple[Address, Callable[[], int]]] = {}  # by key: address, and descriptor
         self.channels: dict[Channel, None] = {}
         self.waiting: Any = None  # where the process after this one asks
+        self.handed_on = 0  # connections that went along
         self.speaking: Channel | None = None  # whose word is being carried out
         proxy.door.held(RESERVED)
-        proxy.heard_word = self.word
+        proxy.heard_word, proxy.hand_on = self.word, self.hand_on
         proxy.clock.later(HOLDS_EVERY, self.tell_holds)
 
     # Coming.
@@ -319,6 +341,11 @@
             self.hold(channel, message)
         elif kind == "word" and channel in self.channels:
             self.carry_out(channel, message)
+        elif kind == "flow" and channel in self.channels:
+            self.take_on(channel, message)
+        elif kind == "had" and channel.under_way:
+            carry.close(channel.under_way.popleft())
+            self.hand_on_more(channel)
         else:
             raise UnfitError(f"say: {kind!r:.20} is not for now")
 
@@ -330,10 +357,9 @@
             key: descriptor() for key, (address, descriptor) in self.sockets.items()
             if names.get(key) == estate.text_of(address)
         }
-        for descriptor in given.values():
-            channel.transport.sendFileDescriptor(descriptor)
         known = estate.left(self.proxy, self.discovery)
-        channel.say({"say": "estate", "form": estate.FORM, "sockets": list(given), "estate": known})
+        answer = {"say": "estate", "form": estate.FORM, "sockets": list(given), "estate": known}
+        channel.say(answer, given.values())
         self.joined(channel)
         if "listen" in given:
             self.step(False)
@@ -363,6 +389,39 @@
                 channel.ids.update(holds["ids"])
                 channel.say({"say": "holds", **holds})
 
+    def hand_on(self, client: Client) -> None:
+        """A client goes along with the process after this one, if there is one, and now or soon."""
+        for channel in self.channels:
+            if channel.after:
+                channel.to_hand_on[client] = None
+                self.hand_on_more(channel)
+
+    def hand_on_more(self, channel: Channel) -> None:
+        # Danger: descriptors under way count for both, and the kernel lets only so many be.
+        while channel.to_hand_on and len(channel.under_way) < MOST_UNDER_WAY:
+            client = next(iter(channel.to_hand_on))
+            del channel.to_hand_on[client]
+            if not isinstance(client, LineClient) or not carry.ready(client):
+                continue
+            try:
+                told, descriptors = carry.leave(client)
+            except Exception as error:
+                # Danger: one that cannot be handed on would keep all behind it here until SIGKILL.
+                self.proxy.fault(error, error.__traceback__)
+                continue
+            channel.under_way.append(descriptors)
+            channel.say({"say": "flow", "flow": told, "sockets": len(descriptors)}, descriptors)
+            self.handed_on += 1
+
+    def take_on(self, channel: Channel, message: dict[str, Any]) -> None:
+        count = estate.whole(message.get("sockets"), "sockets")
+        numbers, channel.came = channel.came[:count], channel.came[count:]
+        channel.say({"say": "had"})
+        try:
+            carry.take_on(self.proxy, estate.table(message.get("flow"), "flow"), numbers)
+        except UnfitError as error:
+            self.proxy.log(f"upgrade: {error}")
+
     def word(self, what: str, server_id: str) -> None:
         """An operator's word was carried out here; the other process is told, and the file."""
         if what in (OUT, BACK):
@@ -390,6 +449,8 @@
 
     def end(self) -> None:
         """This process ends. Danger: its parting looks like the other's end, and the path would be taken."""
+        if self.handed_on:
+            self.proxy.log(f"upgrade: {self.handed_on} connections went along")
         self.channels = {}
 
     def parted(self, channel: Channel) -> None:
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -12,7 +12,7 @@
 import pytest
 
 from tests.conftest import Line, Program, Server
-from tests.test_operating import call, operated
+from tests.test_operating import call, operated, settings
 
 Run = Callable[..., Program]
 
@@ -90,7 +90,7 @@
         talker.going = False
     for talker in talkers:
         talker.join()
-    assert set().union(*(talker.answers for talker in talkers)) <= {"M 1", "MOVE"}
+    assert set().union(*(talker.answers for talker in talkers)) == {"M 1"}
     assert "upgrade: taken over\n" in old.stop()
 
 
@@ -240,3 +240,90 @@
     leave(program)
     ready(new)
     assert program.opening().hear() == "UP r1"
+
+
+def test_what_stands_goes_along_and_neither_end_notices_whatever_is_under_way(run: Run) -> None:
+    server = Server()
+    program = ready(operated(run, server, settings=settings(feed={}, old={})))
+    at = ",at=s0"  # half of them stood there before the start
+    clients = [program.opening(f"{k:x}", kind="old" if k else "feed", more=at * (k % 2)) for k in range(40)]
+    assert {client.hear() for client in clients} == {"UP r1"}
+    there = {first.split(" ")[2]: line for first, line in (server.next() for _ in clients)}
+    talks = there["0"]
+    clients[0].conn.sendall(b"half a li")
+    talks.conn.sendall(b"and half")
+    waits, pings = program.caller(), program.caller("PING")
+    waits.conn.sendall(b"OPEN 1a 7f c=fe")
+    assert pings.hear() == "PONG"
+    there["1"].conn.settimeout(1.0)
+    with pytest.raises(TimeoutError):  # its client does not read: what is on the way is not written yet
+        while True:
+            there["1"].conn.sendall((b"x" * 1000 + b"\r\n") * 100)
+    server.answer = None
+    late = program.opening("1a7e")  # its answer is out when the first is told to leave
+    late_there = server.next()[1]
+    new = ready(program.upgrade(settings=settings(feed={})))  # which lacks a service type that stands
+    program.process.send_signal(signal.SIGTERM)
+    program.line("told to leave")
+    clients[0].conn.sendall(b"ne\r\n")
+    talks.conn.sendall(b" a line\r\n")
+    assert (talks.hear(), clients[0].hear()) == ("half a line", "and half a line")
+    late_there.say("UP late")
+    assert late.hear() == "UP late"
+    late_there.say("M 2")
+    assert late.hear() == "M 2"
+    assert "upgrade: 43 connections went along" in program.log() and program.process.returncode == 0
+    server.answer = "UP again"
+    waits.conn.sendall(b"ed,t=acme,d=900\r\n")
+    assert waits.hear() == "UP again"
+    pings.say("PING")
+    assert pings.hear() == "PONG"
+    for _ in range(100):
+        assert clients[1].hear() == "x" * 1000
+    for key, client in enumerate(clients[2:], 2):
+        client.say("M 1")
+        assert there[f"{key:x}"].hear() == "M 1"
+    there["2"].say("BYE")
+    there["2"].end()
+    clients[3].end(reset=True)
+    assert (clients[2].hear(), clients[2].hear(), there["3"].hear()) == ("BYE", "", "reset")
+    said = new.stop()
+    assert "end bye" in said and "end reset" in said and "fault" not in said and "went along" not in said
+    assert clients[0].hear() == "MOVE"
+
+
+def test_who_stands_at_a_server_that_is_out_or_a_drained_proxy_is_moved_by_the_next(run: Run) -> None:
+    server = Server()
+    program = ready(operated(run, server))
+    client = program.opening()
+    assert client.hear() == "UP r1"
+    assert call(program, "/-/servers/s0/disable") == 200
+    new = ready(program.upgrade())
+    leave(program)
+    assert client.hear() == "MOVE"
+    assert call(new, "/-/servers/s0/enable") == 200
+    while (client := program.opening()).hear() != "UP r1":
+        pass  # it may be cold
+    assert call(new, "/-/drain") == 200
+    newer = ready(new.upgrade())
+    leave(new)
+    assert client.hear() == "MOVE" and program.caller("PING").hear() == "NO"
+    assert call(newer, "/-/resume") == 200 and program.caller("PING").hear() == "PONG"
+
+
+def test_if_the_next_process_goes_while_connections_go_along_the_rest_is_moved(run: Run) -> None:
+    server = Server()
+    program = ready(operated(run, server))
+    clients = [program.opening(f"{key:x}") for key in range(40)]
+    assert {client.hear() for client in clients} == {"UP r1"}
+    patch = """
+import os, signal
+from brambleplank.platform import handover
+def gone(self, channel, message):
+    os.kill(os.getpid(), signal.SIGKILL)
+handover.Handover.take_on = gone
+"""
+    ready(program.upgrade(patch=patch))
+    assert "end moved" in program.stop()
+    heard = [client.hear() for client in clients]
+    assert heard.count("MOVE") >= 20 and set(heard) <= {"MOVE", "", "reset"}
