--- a/brambleplank/rotation.py
+++ b/brambleplank/rotation.py
@@ -26,8 +26,9 @@
     def told(self, entries: list[Entry], whole: bool) -> list[Entry]:
         """The list, or changes to it, with the operators' word laid over."""
         named = {entry[0] for entry in entries}
-        for server_id in [s for s, entry in self.listed.items() if whole and s not in named]:
-            self.note(gone(self.listed[server_id]))
+        if whole:
+            for left in [e for e in self.listed.values() if e[0] not in named and e[3] is not Condition.GONE]:
+                self.note(gone(left))
         for entry in entries:
             self.note(entry)
         if len(self.listed) > MOST_GONE:
--- a/tests/test_operating.py
+++ b/tests/test_operating.py
@@ -5,7 +5,10 @@
 import json
 import signal
 import socket
+import threading
+import time
 from collections.abc import Callable, Iterator
+from contextlib import suppress
 from typing import Any
 
 import pytest
@@ -109,6 +112,58 @@
     assert program.opening().hear() == "UP r1" and "fault" not in program.stop()
 
 
+def test_a_call_is_answered_in_time_while_hundreds_of_clients_say_what_they_can(run: Run) -> None:
+    program = operated(run, Server(), limits={"cores": 1.0, "sockets": 400})
+    assert call(program, "/-/ready", "GET") == 200
+    silent, ends = [caller(program) for _ in range(4)], threading.Event()
+
+    def shout() -> None:
+        while not ends.is_set():
+            with suppress(OSError), socket.create_connection(program.listen) as client:
+                client.settimeout(0.2)
+                client.sendall(b"x" * 20_000)
+                client.recv(100)
+
+    crowd = [threading.Thread(target=shout) for _ in range(40)]
+    held = [socket.create_connection(program.listen) for _ in range(300)]
+    for each in crowd:
+        each.start()
+    try:
+        for word in ("drain", "resume") * 5:
+            began = time.monotonic()
+            assert call(program, f"/-/{word}") == 200 and time.monotonic() < began + 1.0
+    finally:
+        ends.set()
+        for thread in crowd:
+            thread.join()
+    assert [line.conn.send(b"GET") for line in silent] == [3] * 4 and held
+
+
+def test_a_stop_amid_a_drain_ends_it_and_a_resume_amid_moving_keeps_who_is_left(run: Run) -> None:
+    program = operated(run, Server())
+    clients = [program.opening(f"{key:x}") for key in range(24)]
+    assert {client.hear() for client in clients} == {"UP r1"}
+    assert call(program, "/-/drain") == 200
+    program.line("end moved")
+    assert call(program, "/-/resume") == 200
+    time.sleep(2.0)  # as long as a drain may take
+    assert call(program, "/-/drain") == call(program, "/-/drain") == 200
+    said = program.stop()
+    assert program.process.returncode == 0 and "operator: drain (it was)" in said
+    before, _, after = said.partition("operator: resume")
+    assert 0 < before.count("end moved") < 24 == said.count("end moved")
+    assert "end moved" not in after.partition("operator: drain")[0]
+    assert {client.hear() for client in clients} == {"MOVE"}
+
+
+def test_with_every_server_out_flows_are_answered_at_once_and_the_proxy_stays_ready(run: Run) -> None:
+    program = operated(run, Server(), Server())
+    assert call(program, "/-/servers/s0/disable") == call(program, "/-/servers/s1/disable") == 200
+    began = time.monotonic()
+    assert program.opening().hear().startswith("BUSY") and time.monotonic() < began + 0.5
+    assert call(program, "/-/ready", "GET") == 200
+
+
 def test_callers_that_say_nothing_do_not_keep_others_from_being_answered(run: Run) -> None:
     program = operated(run, Server())
     silent = [caller(program) for _ in range(40)]
