A server over its share by size is avoided by degrees; counts are believed after a drain

And a proxy that a drain had emptied took the other's 40 for 16, its bound on a lie being what it holds itself (Balancer.held_told). Change: a quarter over its share by size is as bad as slow, half over is harmful; the bound on what a peer tells is what this proxy has held at most.

--- a/brambleplank/decide.py
+++ b/brambleplank/decide.py
@@ -32,6 +32,7 @@
 MOST, HALF_OPEN = 1 / 2, 1 / 4  # shares of failed connects: the gate narrows; where it then starts anew
 LAST_PART = 2 / 5  # share of a planned stop's time, at its end, in which clients are moved
 TOLD_MORE = 2  # times what a cold server may get where what others sent is known, and need not be guessed
+DEGREE = 1 / 4  # of its share by size: so much more on a server that is full is a degree worse
 RELIEF = 1 / 3  # share of its own on a slow server that a proxy moves a telling, on average
 ROOM_KEPT = 1 / 8  # share of the descriptors that is left to final answers and the list
 WHOLE_EVERY, MOST_TOLD = 12, 255  # tellings of what is held to a whole one; connections on a server told of
@@ -87,8 +88,7 @@
         self, handle: Any, kind: ServiceType, spot: int, grouped: bool, give_up_at: float, midflow: bool,
         returned: bool,
     ) -> None:
-        self.grouped = grouped
-        self.handle, self.service_type, self.spot = handle, kind, spot
+        self.handle, self.service_type, self.spot, self.grouped = handle, kind, spot, grouped
         self.give_up_at, self.midflow, self.returned = give_up_at, midflow, returned
         self.connects: list[Connect] = []
         self.target: Server  # where the ring places it
@@ -135,8 +135,7 @@
         # Danger: with no descriptor left, nothing can be connected, accepted or followed any more.
         if left > 0 and room > ROOM_KEPT and len(flow.connects) < flow.service_type.max_connects:
             return True
-        self.balancer.give_up(flow)
-        return False
+        return self.balancer.give_up(flow)
 
     def expire(self, now: float, flow: Flow) -> None:
         if flow.answered or (flow.out and flow.out.established):
@@ -409,10 +408,12 @@
                     return
 
     def avoids(self, now: float, flow: Flow, server: Server) -> int:  # the paper's ring with our skip
-        # Danger: those who come back in waves pile up where a wave of fresh flows would still fit.
-        share = server.size / self.balancer.usual_size if flow.returned else BOUND_FACTOR
-        over = server.held + server.others > share * self.usual + BOUND_SPARE
-        return FULL if over and not flow.midflow else 0
+        # Danger: those who come back in waves pile up where a wave of fresh flows would still fit; and where
+        # all else looks slow, on the one server that nobody sees strained, until it drops them all.
+        count, share = server.held + server.others, server.size / self.balancer.usual_size * self.usual
+        if flow.midflow or count <= (share if flow.returned else BOUND_FACTOR * self.usual) + BOUND_SPARE:
+            return 0
+        return min(HARMFUL, FULL + int(max(0.0, count / (share + BOUND_SPARE) - 1) / DEGREE))
 
     def onward(self, now: float, flow: Flow) -> bool:
         target, least, self.usual = None, HARMFUL, self.balancer.usual()
@@ -431,8 +432,7 @@
                 break
         if target is None:
             # Danger: where all that may take it are dropping connections, one more drops another.
-            self.balancer.give_up(flow)
-            return False
+            return self.balancer.give_up(flow)
         flow.target = target
         return True
 
@@ -447,8 +447,7 @@
 
     def onward(self, now: float, flow: Flow) -> bool:
         if self.out + self.balancer.rng.random() >= self.window and (flow.connects or not flow.midflow):
-            self.balancer.give_up(flow)
-            return False
+            return self.balancer.give_up(flow)
         self.out += 1
         return True
 
@@ -514,7 +513,7 @@
         self.servers: dict[str, Server] = {}
         self.ready: list[Server] = []
         self.able: list[Server] = []  # those of them that are warm
-        self.held, self.usual_size = 0, 1.0  # connections on ready servers; the mean of these servers' sizes
+        self.held, self.most, self.usual_size = 0, 0, 1.0  # on ready servers, and the most; mean size
         self.gap, self.margin = 0.0, 2 * terms.tick  # usual time to an answer, over the fleet; a spare
         self.peers: dict[Any, float] = {}  # proxies that told what they hold, and when
         self.told_of: dict[Server, int] = {}  # what this one told
@@ -583,8 +582,8 @@
         self.peers[peer] = now
         gone = {server: 0 for server in self.servers.values() if whole and peer in server.elsewhere}
         for server, count in {**gone, **dict(held)}.items():
-            # Danger: one confused peer could make sound servers look full; none holds so much more than this.
-            count = min(count, BOUND_FACTOR * self.held + 8 * BOUND_SPARE)
+            # Danger: a confused peer makes sound servers look full; none holds so much more than this did.
+            count = min(count, BOUND_FACTOR * self.most + 8 * BOUND_SPARE)
             change = count - server.elsewhere.get(peer, 0)
             self.cold.slot(now, server)
             server.others += change
@@ -622,17 +621,17 @@
     def place(self, now: float, flow: Flow) -> None:
         all(stage.onward(now, flow) for stage in self.chain)  # up to the one that keeps or ends it
 
-    def give_up(self, flow: Flow) -> None:
-        """The final answer for a flow that no connect will serve; a reject wherever the rules allow one."""
+    def give_up(self, flow: Flow) -> bool:
+        """The final answer where no connect will serve: a reject wherever the rules allow one. Is False."""
         flow.answered = True
-        kind, ran = flow.service_type, flow.may_have_run is not None
-        if not ran or kind.effect is Effect.REPEATABLE or (
-            kind.effect is Effect.REFERENCED and kind.group == "all"
-        ):
+        kind = flow.service_type
+        harmless = kind.effect is Effect.REPEATABLE or (kind.effect, kind.group) == (Effect.REFERENCED, "all")
+        if harmless or flow.may_have_run is None:
             pause = self.rng.uniform(0.5, 1.0) * self.terms.longest_pause if self.terms.retry_after else 0.0
             self.host.reject(flow, pause)
         else:
             self.host.abort(flow)
+        return False
 
     def stop(self, now: float) -> None:
         """A planned stop: all that stands here, or soon will, is moved one by one while others take it up."""
@@ -678,6 +677,7 @@
         server.held += change
         if server.condition is Condition.READY:
             self.held += change
+            self.most = max(self.most, self.held)
 
     def settle(self, now: float, connect: Connect) -> None:
         connect.established = True
@@ -745,8 +745,8 @@
     ) -> None:
         flow.answered = flow.answered or complete
         if end is End.OK:
-            faded = self.served * exp((self.served_at - now) / self.terms.ramp_time)
-            self.served, self.served_at = faded + 1, now
+            self.served = 1 + self.served * exp((self.served_at - now) / self.terms.ramp_time)
+            self.served_at = now
         for stage in reversed(self.chain):
             stage.back(now, flow.connects[number], end, delay)
 
--- a/tests/test_stories.py
+++ b/tests/test_stories.py
@@ -566,3 +566,26 @@
     for spot in range(5000):
         third.proxy.home_told(third.now, spot << 96, third.proxy.ready[0])
     assert len(third.proxy.homes_told) == 4096  # a liar's as well
+
+
+def test_where_all_else_looks_slow_no_server_takes_much_more_than_its_share(fake: Fake) -> None:
+    *slow, unseen = fake.proxy.ready
+    for key in range(60):
+        for server in slow:
+            fake.proxy.message_time_told(fake.now, server, 0.05)
+        fake.pass_time(0.05)
+        flow = fake.come(key, returned=True)
+        if flow.connects:
+            fake.stand(flow)
+    assert fake.asked("reject")  # at once, with when to come back
+    assert 8 <= unseen.held <= 1.5 * (fake.proxy.mean() + 2) + 1 and sum(s.held for s in slow) >= 8
+
+
+def test_what_others_hold_is_believed_also_by_a_proxy_that_a_drain_has_emptied() -> None:
+    emptied, _ = fleet(2, Hearing)
+    flows = [emptied.stand(emptied.come(key)) for key in range(30)]
+    for flow in flows:
+        emptied.end(flow, End.CANCELLED, complete=True)
+    crowded = emptied.proxy.ready[0]
+    emptied.proxy.held_told(emptied.now, 1, [(crowded, 40)], True)
+    assert crowded.others == 40 and emptied.proxy.held == 0
