Servers that are dead but listed are no room: the others take all who come, by no degree

Danger seen on rereading, by a story: with two of four servers set aside as unreachable and still listed, the mean was taken over all four, the two sound ones were half over their share at 12 connections each, and all further flows were rejected (Balancer.look, Ring.avoids).

--- a/brambleplank/decide.py
+++ b/brambleplank/decide.py
@@ -66,7 +66,7 @@
         self.started = at
         self.gap = 0.0  # usual time to an answer; 0 before the first
         self.silence = 0.0  # waiting that ended without an answer, since the last answer
-        self.trickle = 0  # connects at once that a server set aside may have; 0: it is not set aside
+        self.trickle, self.dead = 0, False  # connects at once while set aside, else 0; whether it only fails
         self.pause = self.retry_at = self.recent = self.recent_at = 0.0  # recent: connects there, fading
         self.slow_until = self.late_until = self.dropping_until = self.probe_at = self.told_at = 0.0
         self.cold_slot, self.cold_sent, self.cold_others = -1, 0, 0  # sent in a slot, here and elsewhere
@@ -242,14 +242,14 @@
         if first and 2 * sum(s.trickle > 0 for s in ready) >= len(ready):
             return  # Danger: if most look ill the cause is shared, and setting all aside helps nobody.
         server.pause = self.terms.shortest_setup if first else min(2 * server.pause, self.terms.ramp_time)
-        server.trickle, server.silence = 1, 0.0
+        server.trickle, server.silence, server.dead = 1, 0.0, why != End.ERROR.value
         server.retry_at = now + server.pause * self.balancer.rng.uniform(0.75, 1.25)
         if first:
             self.balancer.host.log(f"{server.id} set aside: {why}")
 
     def stands(self, now: float, connect: Connect, delay: float) -> None:
         server = connect.server
-        server.silence = 0.0
+        server.silence, server.dead = 0.0, False
         server.gap = server.gap + LEARNING * (delay - server.gap) if server.gap else delay
         self.balancer.gap += LEARNING * (delay - self.balancer.gap) if self.balancer.gap else delay
         if server.trickle:
@@ -595,8 +595,8 @@
         return min(self.terms.ramp_time / self.terms.fall_time, 1 / min(1.0, self.mean() + 0.01))
 
     def look(self, now: float) -> None:
-        """Danger: servers that have just joined look like room, and the others too full beside them."""
-        self.able = [s for s in self.ready if not self.cold.cold(now, s)] or self.ready
+        """Danger: servers that have just joined, or are dead, look like room, and the others too full."""
+        self.able = [s for s in self.ready if not (s.dead or self.cold.cold(now, s))] or self.ready
 
     def measure(self, now: float) -> None:
         """Probes this zone's servers; from afar a probe's delay says less, so only for want of another."""
--- a/tests/test_stories.py
+++ b/tests/test_stories.py
@@ -589,3 +589,16 @@
     crowded = emptied.proxy.ready[0]
     emptied.proxy.held_told(emptied.now, 1, [(crowded, 40)], True)
     assert crowded.others == 40 and emptied.proxy.held == 0
+
+
+def test_where_half_of_the_servers_are_dead_and_listed_the_others_take_all_who_come() -> None:
+    fake = Fake(servers=4)
+    dead = fake.proxy.ready[:2]
+    for key in range(80):
+        fake.pass_time(0.2)
+        flow = fake.come(key, returned=True)
+        while flow.connects[-1].server in dead:
+            fake.end(flow, End.UNREACHABLE)
+        fake.stand(flow)
+    assert sorted(server.held > 30 for server in fake.proxy.ready) == [False, False, True, True]
+    assert not fake.asked("reject")
