Too full is harmful only beyond twice what servers have borne, whatever the mean is now

Danger seen on rereading, by a story: where one of two servers limps and is emptied, the mean falls with it, the sound one looks half over its share at ever fewer connections, and rejects settle at a fixed point of a dozen however much it can bear. The share of now alone cannot tell that; so the most that all servers held for a unit of size is kept (Balancer.look), and a server counts as harmful only beyond twice that too.

--- a/brambleplank/decide.py
+++ b/brambleplank/decide.py
@@ -32,8 +32,7 @@
 MOST, HALF_OPEN = 1 / 2, 1 / 4  # shares of failed connects: the gate narrows; where it then starts anew
 LAST_PART = 2 / 5  # share of a planned stop's time, at its end, in which clients are moved
 TOLD_MORE = 2  # times what a cold server may get where what others sent is known, and need not be guessed
-DEGREE = 1 / 4  # of its share by size: so much more on a server that is full is a degree worse
-RELIEF = 1 / 3  # share of its own on a slow server that a proxy moves a telling, on average
+RELIEF, DEGREE = 1 / 3, 1 / 4  # of its own on a slow server, moved a telling; over its share, a degree worse
 ROOM_KEPT = 1 / 8  # share of the descriptors that is left to final answers and the list
 WHOLE_EVERY, MOST_TOLD = 12, 255  # tellings of what is held to a whole one; connections on a server told of
 SPOT_CUT, MOST_HOMES = 96, 4096  # bits of a group's place that are not told; how many told homes are kept
@@ -55,8 +54,7 @@
         self.unready_since = now  # when the list told this proxy that it drains or is gone
         self.empty_by = inf  # when all that stands there has to be moved
         self.held = 0  # connects sent, or told open at the start, that have not ended
-        self.elsewhere: dict[Any, int] = {}  # the same at other proxies, as each last told
-        self.others = 0  # their sum
+        self.elsewhere: dict[Any, int] = {}  # the same at other proxies, as each last told; others: their sum
         self.waiting: dict[Connect, None] = {}  # connects out and unanswered, oldest first
         self.groups: dict[int, dict[Flow, None]] = {}  # established here, by their place on the ring
         self.start(0.0)
@@ -104,8 +102,7 @@
     """One step of the chain; what a stage leaves out passes everything on."""
 
     def __init__(self, balancer: Balancer) -> None:
-        self.balancer = balancer
-        self.terms = balancer.terms
+        self.balancer, self.terms = balancer, balancer.terms
 
     def onward(self, now: float, flow: Flow) -> bool:
         """True passes the flow on; False keeps or ends it."""
@@ -413,7 +410,8 @@
         count, share = server.held + server.others, server.size / self.balancer.usual_size * self.usual
         if flow.midflow or count <= (share if flow.returned else BOUND_FACTOR * self.usual) + BOUND_SPARE:
             return 0
-        return min(HARMFUL, FULL + int(max(0.0, count / (share + BOUND_SPARE) - 1) / DEGREE))
+        worst = HARMFUL if count > BOUND_FACTOR * self.balancer.borne * server.size + BOUND_SPARE else SLOW
+        return min(worst, FULL + int(max(0.0, count / (share + BOUND_SPARE) - 1) / DEGREE))
 
     def onward(self, now: float, flow: Flow) -> bool:
         target, least, self.usual = None, HARMFUL, self.balancer.usual()
@@ -518,7 +516,7 @@
         self.peers: dict[Any, float] = {}  # proxies that told what they hold, and when
         self.told_of: dict[Server, int] = {}  # what this one told
         self.begun, self.whole_at = -1.0, 0.0  # when the first list came; when it tells all it holds again
-        self.served, self.served_at = 0.0, 0.0  # ends that were well, fading over the time servers warm
+        self.served = self.served_at = self.borne = 0.0  # ends that were well, fading; most held, by size
         self.failures, self.stop_at = 0, inf  # calls for the list that failed in a row; end of a planned stop
         self.ring = Ring(self)
         self.homes: dict[int, Server] = {}  # where displaced groups went, by their place on the ring
@@ -597,6 +595,8 @@
     def look(self, now: float) -> None:
         """Danger: servers that have just joined, or are dead, look like room, and the others too full."""
         self.able = [s for s in self.ready if not (s.dead or self.cold.cold(now, s))] or self.ready
+        held = sum(s.held + s.others for s in self.servers.values())
+        self.borne = max(self.borne, held / max(1.0, sum(s.size for s in self.servers.values())))
 
     def measure(self, now: float) -> None:
         """Probes this zone's servers; from afar a probe's delay says less, so only for want of another."""
--- a/tests/test_stories.py
+++ b/tests/test_stories.py
@@ -591,6 +591,19 @@
     assert crowded.others == 40 and emptied.proxy.held == 0
 
 
+def test_where_one_of_two_servers_limps_the_other_takes_what_both_have_borne() -> None:
+    fake = Fake(servers=2)
+    limps, sound = fake.proxy.ready
+    flows = [fake.stand(fake.come(key, at=None)) for key in range(60)]
+    for key, flow in enumerate(flow for flow in flows if flow.connects[-1].server is limps):
+        fake.proxy.message_time_told(fake.now, limps, 0.05)
+        fake.pass_time(0.1)
+        if flow.connects[-1].established and not flow.connects[-1].over:
+            fake.end(flow, End.RESET, complete=True)
+        fake.stand(fake.come(100 + key, returned=True))
+    assert sound.held > 50 and not fake.asked("reject")
+
+
 def test_where_half_of_the_servers_are_dead_and_listed_the_others_take_all_who_come() -> None:
     fake = Fake(servers=4)
     dead = fake.proxy.ready[:2]
