--- a/brambleplank/decide.py
+++ b/brambleplank/decide.py
@@ -34,6 +34,8 @@
 TOLD_MORE = 2  # times what a cold server may get where what others sent is known, and need not be guessed
 RELIEF, DEGREE = 1 / 3, 1 / 4  # of its own on a slow server, moved a telling; over its share, a degree worse
 ROOM_KEPT = 1 / 8  # share of the descriptors that is left to final answers and the list
+ASKED = 2  # the word for a turn at a cold server, beside 1 and 0 for yes and no
+SUM_PERIOD, SUM = 1, "sum"  # tellings to one of a sum; where it stands among what others hold
 WHOLE_EVERY, MOST_TOLD = 12, 255  # tellings of what is held to a whole one; connections on a server told of
 SPOT_CUT, MOST_HOMES = 96, 4096  # bits of a group's place that are not told; how many told homes are kept
 TRICKLE_FULL = 8  # connects in a row that went well, doubling from one, before a server is trusted again
@@ -57,6 +59,7 @@
         self.elsewhere: dict[Any, int] = {}  # the same at other proxies, as each last told; others: their sum
         self.waiting: dict[Connect, None] = {}  # connects out and unanswered, oldest first
         self.groups: dict[int, dict[Flow, None]] = {}  # established here, by their place on the ring
+        self.asking: dict[Flow, None] = {}  # who wait for a turn here, as it is cold
         self.start(0.0)
 
     def start(self, at: float) -> None:
@@ -90,7 +93,8 @@
         self.give_up_at, self.midflow, self.returned = give_up_at, midflow, returned
         self.connects: list[Connect] = []
         self.target: Server  # where the ring places it
-        self.answered = False  # nothing more is owed to the client
+        self.answered = self.asked = False  # nothing more is owed to the client; it has asked for a turn
+        self.turn: Server | None = None  # where the keeper has it go, though the server is cold
         self.may_have_run: Connect | None = None  # the first connect not proved never to have run
 
     @property
@@ -180,13 +184,15 @@
     """
 
     def forbids(self, now: float, flow: Flow, server: Server) -> bool:
-        if not self.cold(now, server):
+        if not self.cold(now, server) or flow.turn is server:
             return False
+        if self.balancer.hears_keeper(now):
+            return flow.asked
         slot = self.slot(now, server)
         budget, trying = self.budget(now, server)
-        if self.terms.shares and server.cold_sent + server.cold_others >= TOLD_MORE * budget:
+        if self.terms.prompt and server.cold_sent + server.cold_others >= TOLD_MORE * budget:
             return True
-        budget = max(budget, trying) if self.terms.shares else budget
+        budget = max(budget, trying) if self.terms.prompt else budget
         place = (self.terms.number + server.points[slot % POINTS]) % self.terms.proxies
         return server.cold_sent >= ceil((budget - place) / self.terms.proxies)
 
@@ -203,7 +209,7 @@
         """Connects of all proxies in a slot; how many may try where all hear of it: half of what fells it."""
         warmth = (now - server.started) / self.terms.ramp_time
         able = self.terms.cold_from + (1 - self.terms.cold_from) * warmth
-        fleet = self.terms.proxies / (1 + len(self.balancer.peers))
+        fleet = 1.0 if self.balancer.summed else self.terms.proxies / (1 + len(self.balancer.peers))
         stands = able * fleet * self.balancer.usual() * server.size / self.balancer.usual_size
         ended = able * self.terms.proxies * self.balancer.served_rate(now) / max(1, len(self.balancer.able))
         # What a warm server holds came to it in the time that one takes to warm up, or in more.
@@ -212,8 +218,36 @@
         return max(1.0, factor * a_second * self.terms.fall_time), factor / 2 * stands  # one harms nobody
 
     def onward(self, now: float, flow: Flow) -> bool:
-        flow.target.cold_sent += 1
-        return True
+        """Where a keeper hears all, it deals the budget out, to those who have a flow for the server now."""
+        server, balancer = flow.target, self.balancer
+        if flow.turn is server or not self.cold(now, server) or not balancer.hears_keeper(now):
+            server.cold_sent += flow.turn is not server
+            return True
+        flow.asked, server.asking[flow] = True, None
+        if balancer.keeper == self.terms.number:
+            self.dealt(now, server, self.deal(now, server))
+        else:
+            balancer.host.tell_turn(server, balancer.keeper, ASKED)
+            balancer.host.alarm(
+                self.terms.shortest_setup / 4, partial(self.dealt, server=server, may=False, flow=flow)
+            )
+        return False
+
+    def deal(self, now: float, server: Server) -> bool:
+        """Whether one more may go there; said by the keeper alone, once it knows what all hold."""
+        self.slot(now, server)
+        may = self.balancer.hears_keeper(now) and server.cold_sent < self.budget(now, server)[0]
+        server.cold_sent += may
+        return may
+
+    def dealt(self, now: float, server: Server, may: bool, flow: Flow | None = None) -> None:
+        """The answer to who has asked first, or no answer in time."""
+        flow = flow or next(iter(server.asking), None)
+        if flow in server.asking:
+            del server.asking[flow]
+            if not flow.answered:
+                flow.turn = server if may else None
+                self.balancer.place(now, flow)
 
 
 class Health(Stage):
@@ -281,7 +315,7 @@
             return 0
         if now < server.dropping_until or (now < server.late_until and self.short(now)):
             return HARMFUL
-        if now < server.slow_until or server.held or not flow.returned or self.balancer.peers:
+        if now < server.slow_until or server.held or not flow.returned or self.balancer.heard:
             return SLOW if now < server.slow_until else 0
         # Danger: another proxy broke or moved it for a reason that this one, with nothing there, is not told.
         # Its owner and small servers are the likeliest cause; of few proxies it may as well be that one died.
@@ -330,7 +364,8 @@
             share = self.balancer.mean() * server.size / self.balancer.usual_size
             most = max(int(RELIEF * (server.held - share)), lateness > 1)
             flows = flows[-most:] if most else []
-        if self.balancer.rng.random() * len(flows) > RELIEF * min(1.0, lateness) * server.held:
+        relief = RELIEF / 4 if self.balancer.summed and self.short(now) else RELIEF
+        if self.balancer.rng.random() * len(flows) > relief * min(1.0, lateness) * server.held:
             return  # Danger: hundreds of proxies with a connection each there empty it in one second.
         for flow in flows:
             self.balancer.send_off(flow)
@@ -515,6 +550,8 @@
         self.gap, self.margin = 0.0, 2 * terms.tick  # usual time to an answer, over the fleet; a spare
         self.peers: dict[Any, float] = {}  # proxies that told what they hold, and when
         self.told_of: dict[Server, int] = {}  # what this one told
+        self.keeper: Any = None  # the number of the proxy that sums what all hold, if one does
+        self.keeper_at, self.summed = 0.0, False  # when it last said so; whether `others` is of its sums
         self.begun, self.whole_at = -1.0, 0.0  # when the first list came; when it tells all it holds again
         self.served = self.served_at = self.borne = 0.0  # ends that were well, fading; most held, by size
         self.failures, self.stop_at = 0, inf  # calls for the list that failed in a row; end of a planned stop
@@ -553,30 +590,70 @@
         """The mean count on warm servers, of this proxy and all that have told theirs."""
         return (self.held + sum(s.others for s in self.able)) / max(1, len(self.able))
 
+    def hears_keeper(self, now: float) -> bool:
+        return self.keeper is not None and now < self.keeper_at + 1.5 * SUM_PERIOD * NEWS_PERIOD
+
+    def turn_told(self, now: float, peer: Any, server: Server, word: int) -> None:
+        if word == ASKED:
+            self.host.tell_turn(server, peer, int(self.cold.deal(now, server)))
+        else:
+            self.cold.dealt(now, server, bool(word))
+
+    @property
+    def heard(self) -> bool:
+        """Whether others tell what they hold."""
+        return self.summed or bool(self.peers)
+
     def tell_held(self, now: float) -> None:
         """Tells the other proxies what has changed here; seldom, as all read it, and whole now and then.
 
         Danger: where each of many holds a few connections, nobody sees a server fill up, and "plus two" of
-        each is a crowd. What is told may be lost, or its teller start anew.
+        each is a crowd. What is told may be lost, or its teller start anew. And where each tells all, the
+        price grows by the square of the proxies: so one of them, the keeper, sums for all who hear of it.
         """
-        self.tell_changes(now, 2)
-        for peer in [p for p, at in self.peers.items() if now > at + 3 * WHOLE_EVERY * NEWS_PERIOD]:
+        self.tell_changes(now, 2 if self.terms.measures else 0)
+        lasts = 3 * (WHOLE_EVERY if self.terms.measures else SUM_PERIOD) * NEWS_PERIOD
+        for peer in [p for p, at in self.peers.items() if now > at + lasts]:
             del self.peers[peer]
             for server in self.servers.values():
                 server.others -= server.elsewhere.pop(peer, 0)
-        self.host.alarm(NEWS_PERIOD * self.rng.uniform(0.75, 1.25), self.tell_held)
+        silence = lasts * self.rng.uniform(0.5, 1.0)
+        if self.terms.sums and self.keeper != self.terms.number and now > self.keeper_at + silence:
+            self.keeper, self.whole_at = self.terms.number, now + SUM_PERIOD * NEWS_PERIOD / 2
+            self.host.tell_held([], False, None, True)
+        pause = 1 if self.terms.measures else SUM_PERIOD
+        self.host.alarm(pause * NEWS_PERIOD * self.rng.uniform(0.75, 1.25), self.tell_held)
 
     def tell_changes(self, now: float, least: int) -> None:
         """Also with whatever else is told, since it costs little beside it."""
-        whole = now >= self.whole_at
-        held = {s: min(s.held, MOST_TOLD) for s in self.ready if s.held or (s in self.told_of and not whole)}
-        changes = {s: n for s, n in held.items() if n != self.told_of.get(s, 0)}
+        whole, keeps = now >= self.whole_at, self.keeper == self.terms.number
+        if keeps and self.summed:
+            if not whole:
+                return  # the wholes of those who have just heard of it are still to come
+            for server in self.servers.values():
+                server.others -= server.elsewhere.pop(SUM, 0)
+            self.summed = False
+        count = {s: min(s.held + (s.others if keeps else 0), MOST_TOLD) for s in self.ready}
+        held = {s: n for s, n in count.items() if n or (s in self.told_of and not whole)}
+        least_of_one = 1 / 16 if keeps else 0.0
+        changes = {s: n for s, n in held.items() if abs(n - self.told_of.get(s, 0)) > least_of_one * n}
         if whole or sum(abs(n - self.told_of.get(s, 0)) for s, n in changes.items()) >= least:
-            self.host.tell_held([(s, n) for s, n in (held if whole else changes).items()], whole)
-            self.told_of = held
+            self.keeper_at = now if keeps else self.keeper_at
+            told = held if whole else changes
+            self.host.tell_held(list(told.items()), whole, None if keeps else self.keeper, keeps)
+            self.told_of = {**({} if whole else self.told_of), **told}
             self.whole_at = now + WHOLE_EVERY * NEWS_PERIOD if whole else self.whole_at
 
-    def held_told(self, now: float, peer: Any, held: Iterable[tuple[Server, int]], whole: bool) -> None:
+    def held_told(
+        self, now: float, peer: Any, held: Iterable[tuple[Server, int]], whole: bool, summed: bool = False
+    ) -> None:
+        if summed:
+            self.sum_told(now, peer, held, whole)
+            return
+        if self.keeper == self.terms.number and peer not in self.peers and not self.summed:
+            # Danger: who starts anew knows of no server how full it is.
+            sums = [(server, min(server.held + server.others, MOST_TOLD)) for server in self.ready]
+            self.host.tell_held(sums, True, peer, True)
         self.peers[peer] = now
         gone = {server: 0 for server in self.servers.values() if whole and peer in server.elsewhere}
         for server, count in {**gone, **dict(held)}.items():
@@ -588,6 +665,20 @@
             server.cold_others += max(0, change)
             server.elsewhere[peer] = count
 
+    def sum_told(self, now: float, peer: int, held: Iterable[tuple[Server, int]], whole: bool) -> None:
+        """The keeper tells what all hold, this proxy among them."""
+        if peer != self.keeper:
+            if self.keeper is not None and peer > self.keeper and self.hears_keeper(now):
+                return  # of two that began at once, the one with the lower number goes on
+            self.keeper, self.whole_at = peer, now
+        self.keeper_at = now
+        sums = dict(held)
+        if sums and not self.summed:
+            self.peers, self.summed = {}, True
+        for server in self.servers.values() if whole else sums:
+            server.others = max(0, sums.get(server, 0) - self.told_of.get(server, 0))
+            server.elsewhere = {SUM: server.others}
+
     def sparse(self) -> float:
         """How much longer evidence holds here, where fewer than one connection a server brings news."""
         return min(self.terms.ramp_time / self.terms.fall_time, 1 / min(1.0, self.mean() + 0.01))
@@ -692,7 +783,7 @@
                     if not self.untold:
                         self.host.alarm(NEWS_PERIOD / 16 * self.rng.random(), self.tell_homes)
                     self.untold[spot] = server
-        if self.terms.shares and self.cold.cold(now, server):
+        if self.terms.prompt and self.cold.cold(now, server):
             self.tell_changes(now, 1)
         server.groups.setdefault(spot, {})[connect.flow] = None
         if self.due(connect.flow) < inf:
@@ -705,7 +796,8 @@
             self.home_told(now, spot, server)
         if homes:
             self.host.tell_homes(list(homes.items()))
-            self.tell_changes(now, 1)
+            if self.terms.prompt:
+                self.tell_changes(now, 1)
 
     def home_told(self, now: float, spot: int, server: Server) -> None:
         """Another proxy found a home for a displaced group, whose place on the ring is told in four bytes."""
@@ -774,7 +866,7 @@
 
     def list_told(self, now: float, entries: list[Entry], whole: bool) -> None:
         if self.begun < 0:
-            self.begun = self.served_at = now
+            self.begun = self.served_at = self.keeper_at = now
             if self.terms.measures:
                 self.host.alarm(NEWS_PERIOD * self.rng.random(), self.measure)
             if self.terms.shares:
--- a/brambleplank/host.py
+++ b/brambleplank/host.py
@@ -88,6 +88,7 @@
     zone: str  # this proxy's own
     measures: bool  # whether message times are to be had by probes, as nobody tells them
     peers: bool  # whether proxies may speak to one another
+    passes: bool  # whether packets pass through, so that connections go on at another proxy if this one ends
     groups: bool  # whether a flow names the group that it shares work with
     service_types: dict[str, ServiceType]
     tenants: frozenset[str]  # by name; none at sites without
@@ -105,8 +106,18 @@
     @cached_property
     def shares(self) -> bool:
         """Whether proxies tell each other what they hold."""
+        return self.prompt or self.sums
+
+    @cached_property
+    def prompt(self) -> bool:
+        """Whether what one holds reaches all others at once, beside what it measures."""
         return self.measures and self.peers
 
+    @cached_property
+    def sums(self) -> bool:
+        """Whether one proxy sums what all hold, as none has anything else to tell."""
+        return self.passes and self.peers and not self.measures
+
 
 class Host(Protocol[GivenFlowT, GivenServerT]):
     """Calls out: what the balancer asks its host to do."""
@@ -135,8 +146,16 @@
     def tell_peers(self, server: GivenServerT, seconds: float) -> None:
         """Tell all other proxies how long messages take at a server."""
 
-    def tell_held(self, held: Iterable[tuple[GivenServerT, int]], whole: bool) -> None:
-        """Tell all other proxies how many connections stand here, by server; whole: none anywhere else."""
+    def tell_held(
+        self, held: Iterable[tuple[GivenServerT, int]], whole: bool, to: int | None, summed: bool
+    ) -> None:
+        """Tell all other proxies, or one by its number, how many connections stand here, by server.
+
+        Whole: none anywhere else. Summed: of all proxies, as this one sums for all.
+        """
+
+    def tell_turn(self, server: GivenServerT, to: int, word: int) -> None:
+        """Ask the proxy of that number for a turn at a cold server (2), or answer it: yes (1), no (0)."""
 
     def tell_homes(self, homes: Iterable[tuple[int, GivenServerT]]) -> None:
         """Tell all other proxies where displaced groups stand now, by their places on the ring."""
@@ -182,8 +201,14 @@
         While it is long, about once a second; and once when it no longer is.
         """
 
-    def held_told(self, now: float, peer: Any, held: Iterable[tuple[GivenServerT, int]], whole: bool) -> None:
-        """What another proxy holds, as it told it: by server, all of it or what has changed."""
+    def held_told(
+        self, now: float, peer: Any, held: Iterable[tuple[GivenServerT, int]], whole: bool,
+        summed: bool = False,
+    ) -> None:
+        """What another proxy holds, or all that it sums for, as told: by server, all or what has changed."""
+
+    def turn_told(self, now: float, peer: Any, server: GivenServerT, word: int) -> None:
+        """Another proxy asks for a turn at a cold server, or answers, as in `tell_turn`."""
 
     def home_told(self, now: float, spot: int, server: GivenServerT) -> None:
         """Where a displaced group stands, as another proxy says; of the spot, its first four bytes count."""
--- a/brambleplank/net/proxy.py
+++ b/brambleplank/net/proxy.py
@@ -11,11 +11,12 @@
 from brambleplank.net.clock import Clock
 from brambleplank.net.door import Door
 from brambleplank.net.log import Log
-from brambleplank.net.peers import Peers, tag_of
+from brambleplank.net.peers import Peers
 from brambleplank.net.probes import Probes
 from brambleplank.net.reach import Reach, reach_of
 from brambleplank.rotation import Rotation
 from brambleplank.seams import Client, Connect, Probe, Source
+from brambleplank.talk import tag_of
 
 LOOK = 0.1  # seconds between two looks
 SILENT = 1.0  # seconds after which a line without an answer is spoken of
@@ -198,9 +199,13 @@
             reach_of(server).usual_told = usual or reach_of(server).usual_told
             self.balancer.message_time_told(self.clock.now(), server, seconds)
 
-    def held_told(self, peer: tuple[str, int], held: dict[int, int], whole: bool) -> None:
+    def held_told(self, peer: int, held: dict[int, int], whole: bool, summed: bool) -> None:
         known = [(self.by_tag[tag], count) for tag, count in held.items() if tag in self.by_tag]
-        self.balancer.held_told(self.clock.now(), peer, known, whole)
+        self.balancer.held_told(self.clock.now(), peer, known, whole, summed)
+
+    def turn_told(self, peer: int, tag: int, word: int) -> None:
+        if tag in self.by_tag:
+            self.balancer.turn_told(self.clock.now(), peer, self.by_tag[tag], word)
 
     def home_told(self, spot: int, tag: int) -> None:
         if tag in self.by_tag:
@@ -322,13 +327,21 @@
         if self.peers and not self.succeeded:
             self.peers.tell_time(tag_of(server.points[0]), seconds, self.probes.news_of_usual(server))
 
-    def tell_held(self, held: Iterable[tuple[Server, int]], whole: bool) -> None:
+    def tell_held(
+        self, held: Iterable[tuple[Server, int]], whole: bool, to: int | None, summed: bool
+    ) -> None:
         if self.peers and not self.succeeded:
             # Danger: what goes along from the process before would look to the others like new connections.
             counts = {server: count + self.beside(server) for server, count in held}
             rest = self.balancer.ready if whole else ()
             counts.update({s: self.beside(s) for s in rest if s not in counts and self.beside(s)})
-            self.peers.tell_held({tag_of(server.points[0]): n for server, n in counts.items()}, whole)
+            self.peers.tell_held(
+                {tag_of(server.points[0]): n for server, n in counts.items()}, whole, to, summed
+            )
+
+    def tell_turn(self, server: Server, to: int, word: int) -> None:
+        if self.peers and not self.succeeded:
+            self.peers.tell_turn(tag_of(server.points[0]), to, word)
 
     def tell_homes(self, homes: Iterable[tuple[int, Server]]) -> None:
         if self.peers and not self.succeeded:
--- a/brambleplank/platform/run.py
+++ b/brambleplank/platform/run.py
@@ -42,7 +42,7 @@
         if told.peer_listen:
             proxy.peers = Peers(
                 lambda call: clock.later(0, call), proxy.time_told, proxy.held_told, proxy.home_told,
-                told.peers_all, told.peers,
+                proxy.turn_told, told.peers_all, told.peers,
             )
 
     def hear_peers(self, adopted: socket.socket | None) -> Any:
--- a/brambleplank/terms.py
+++ b/brambleplank/terms.py
@@ -63,6 +63,7 @@
         zone=info.get("az", ""),
         measures=sockets and bool(limits.get("may_probe", False)),
         peers=bool(limits.get("peers", False)),
+        passes=facts.get("mode") == "pass",
         groups=bool(facts.get("groups", False)),
         service_types=service_types,
         tenants=frozenset(item["name"] for item in info.get("tenants") or ()),
--- a/brambleplank/wirehost/door.py
+++ b/brambleplank/wirehost/door.py
@@ -2,11 +2,14 @@
 
 from __future__ import annotations
 
+from base64 import b85decode, b85encode
 from collections.abc import Callable, Iterable
+from struct import error
 from typing import Any
 
 from brambleplank.decide import Balancer, Flow, Server
 from brambleplank.host import Condition, End
+from brambleplank.talk import FORM, Talk, tag_of
 from brambleplank.terms import MICRO, known, terms_of
 
 ENDS = {
@@ -19,6 +22,21 @@
 MESSAGE_TIME = 2
 
 
+class Talks(Talk):
+    """Messages to the other instances, as text of five letters for four bytes."""
+
+    longest = 204  # which is 255 as text
+
+    def __init__(self, door: Door) -> None:
+        hear = door.time_told, door.held_told, door.home_told, door.turn_told
+        super().__init__(door.at_the_end.append, *hear)
+        self.door = door
+
+    def say(self, message: bytes, to: int | None) -> None:
+        whom = "*" if to is None else to
+        self.door.out.append(["BROADCAST_TO", self.door.name, whom, b85encode(message).decode()])
+
+
 class Door:
     """Carries the calls of one balancer; its `Host`."""
 
@@ -28,7 +46,11 @@
         self.flows: dict[str, Flow] = {}
         self.alarms: dict[int, Callable[[float], None]] = {}
         self.next_alarm = 0
+        self.at_the_end: list[Callable[[], None]] = []  # of the event at hand
+        self.now = 0.0
+        self.by_tag: dict[int, Server] = {}  # as other instances name them; made where one does
         self.balancer = Balancer(self, terms_of(info), seed)
+        self.talks = Talks(self)
 
     # Events, each taking the wire's fields in the wire's order.
 
@@ -77,6 +99,7 @@
         if how == "FAILED":
             self.balancer.list_failed(now)
             return
+        self.by_tag = {}
         self.balancer.list_told(
             now,
             [
@@ -89,6 +112,41 @@
             known(WHOLE, how, "kind of list"),
         )
 
+    def peer(self, now: float, teller: int, octets: str) -> None:
+        """Another instance tells; what has no known form is passed over, as it may come of another build."""
+        try:
+            message = b85decode(octets)
+            if message[:1] == bytes([FORM]):
+                self.now = now
+                self.talks.read(message[1:], teller)
+        except (ValueError, error):
+            return
+
+    def named(self, tag: int) -> Server | None:
+        self.by_tag = self.by_tag or {tag_of(s.points[0]): s for s in self.balancer.servers.values()}
+        return self.by_tag.get(tag)
+
+    def time_told(self, tag: int, seconds: float, usual: float) -> None:
+        if server := self.named(tag):
+            self.balancer.message_time_told(self.now, server, seconds)
+
+    def held_told(self, teller: int, held: dict[int, int], whole: bool, summed: bool) -> None:
+        known = [(server, count) for tag, count in held.items() if (server := self.named(tag))]
+        self.balancer.held_told(self.now, teller, known, whole, summed)
+
+    def home_told(self, spot: int, tag: int) -> None:
+        if server := self.named(tag):
+            self.balancer.home_told(self.now, spot, server)
+
+    def turn_told(self, teller: int, tag: int, word: int) -> None:
+        if server := self.named(tag):
+            self.balancer.turn_told(self.now, teller, server, word)
+
+    def finish(self) -> None:
+        """What was told in one event goes out together."""
+        while self.at_the_end:
+            self.at_the_end.pop()()
+
     def keep(self, flow_id: str, flow: Flow) -> None:
         if flow.answered and flow.out is None:
             self.flows.pop(flow_id, None)
@@ -118,11 +176,16 @@
     def tell_peers(self, server: Server, seconds: float) -> None:
         """Never asked for here: the wire tells every proxy."""
 
-    def tell_held(self, held: Iterable[tuple[Server, int]], whole: bool) -> None:
-        """Never asked for here: only proxies that measure tell it."""
+    def tell_held(
+        self, held: Iterable[tuple[Server, int]], whole: bool, to: int | None, summed: bool
+    ) -> None:
+        self.talks.tell_held({tag_of(s.points[0]): count for s, count in held}, whole, to, summed)
+
+    def tell_turn(self, server: Server, to: int, word: int) -> None:
+        self.talks.tell_turn(tag_of(server.points[0]), to, word)
 
     def tell_homes(self, homes: Iterable[tuple[int, Server]]) -> None:
-        """Never asked for here, for the same reason."""
+        self.talks.tell_homes({spot: tag_of(server.points[0]) for spot, server in homes})
 
     def room(self) -> float:
         return 1.0
--- a/brambleplank/wirehost/pipe.py
+++ b/brambleplank/wirehost/pipe.py
@@ -24,9 +24,10 @@
     "LAPSED": (Door.lapsed, (str,)),
     "CHANGE": (Door.change, (str, str, NUMBER, int, int)),
     "ELAPSED": (Door.elapsed, (int,)),
+    "PEER": (Door.peer, (int, str)),
 }
-# No probe or message to a peer is ever sent, so nothing is done with what these would bring.
-PASSED_OVER = ("PROBE_RESULT", "PEER")
+# No probe is ever sent, so nothing is done with what this would bring.
+PASSED_OVER = ("PROBE_RESULT",)
 ENTRY: Kinds = (str, str, object, int, str, NUMBER | None, NUMBER | None)
 
 
@@ -102,6 +103,7 @@
         """An exception of the module ends the day and says why; it is never swallowed."""
         try:
             call(door, *fields)
+            door.finish()
         except MalformedError:
             raise
         except Exception:
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -33,7 +33,7 @@
     proxies=2, number=0, tick=0.005, push=True, cancelling=True, retry_after=True,
     longest_pause=2.0, drain_grace=1.0, ask_within=10.0, cold_from=0.2, ramp_time=20.0, overload_factor=3.0,
     fall_time=2.0, connect_within=0.15, leave_within=1.0, silence_within=4.5, zone="a", measures=False,
-    peers=False, groups=True, service_types={"feed": FEED}, tenants=frozenset(),
+    peers=False, passes=False, groups=True, service_types={"feed": FEED}, tenants=frozenset(),
 )
 
 
@@ -117,9 +117,14 @@
     def tell_peers(self, server: decide.Server, seconds: float) -> None:
         self.said.append(("tell_peers", (server, seconds)))
 
-    def tell_held(self, held: Iterable[tuple[decide.Server, int]], whole: bool) -> None:
+    def tell_held(
+        self, held: Iterable[tuple[decide.Server, int]], whole: bool, to: int | None, summed: bool
+    ) -> None:
         self.said.append(("tell_held", (list(held), whole)))
 
+    def tell_turn(self, server: decide.Server, to: int, word: int) -> None:
+        self.said.append(("tell_turn", (server, to, word)))
+
     def tell_homes(self, homes: Iterable[tuple[int, decide.Server]]) -> None:
         self.said.append(("tell_homes", list(homes)))
 
@@ -145,10 +150,20 @@
         for other in self.others:
             other.proxy.message_time_told(other.now, other.server(server.id), seconds)
 
-    def tell_held(self, held: Iterable[tuple[decide.Server, int]], whole: bool) -> None:
+    def tell_held(
+        self, held: Iterable[tuple[decide.Server, int]], whole: bool, to: int | None, summed: bool
+    ) -> None:
+        super().tell_held(held, whole, to, summed)
+        for other in self.others:
+            if to in (None, other.proxy.terms.number):
+                told = [(other.server(server.id), count) for server, count in held]
+                other.proxy.held_told(other.now, self.proxy.terms.number, told, whole, summed)
+
+    def tell_turn(self, server: decide.Server, to: int, word: int) -> None:
         for other in self.others:
-            told = [(other.server(server.id), count) for server, count in held]
-            other.proxy.held_told(other.now, self.proxy.terms.number, told, whole)
+            if to == other.proxy.terms.number:
+                number = self.proxy.terms.number
+                other.proxy.turn_told(other.now, number, other.server(server.id), word)
 
     def tell_homes(self, homes: Iterable[tuple[int, decide.Server]]) -> None:
         super().tell_homes(homes)
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -6,16 +6,17 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from brambleplank.net.peers import LONGEST, MOST, Peers
+from brambleplank.net.peers import Peers
+from brambleplank.talk import MOST
 
 HERE, TAGS = ("10.0.0.1", 7946), st.integers(0, MOST)
 
 
 def ears() -> tuple[Peers, dict[str, list[Any]], list[bytes]]:
     """A proxy, what it is told by kinds, and the datagrams it sends."""
-    said: dict[str, list[Any]] = {"time": [], "held": [], "home": []}
-    time, held, home = ((lambda *what, kind=kind: said[kind].append(what)) for kind in said)
-    peers, sent = Peers(lambda send: None, time, held, home, HERE, [HERE]), list[bytes]()
+    said: dict[str, list[Any]] = {"time": [], "held": [], "home": [], "turn": []}
+    time, held, home, turn = ((lambda *what, kind=kind: said[kind].append(what)) for kind in said)
+    peers, sent = Peers(lambda send: None, time, held, home, turn, HERE, [HERE]), list[bytes]()
     peers.transport = SimpleNamespace(write=lambda datagram, where: sent.append(datagram))
     return peers, said, sent
 
@@ -23,16 +24,16 @@
 @given(st.dictionaries(TAGS, st.integers(0, 255), max_size=300), st.booleans(), TAGS, st.floats(0, 0.6))
 def test_all_comes_in_as_it_went_out(held: dict[int, int], whole: bool, tag: int, seconds: float) -> None:
     peers, said, sent = ears()
-    peers.tell_held(held, whole)
+    peers.tell_held(held, whole, None, False)
     peers.tell_time(tag, seconds, seconds)
     peers.tell_homes({tag << 100: tag})
     peers.send()
     for datagram in sent:
         peers.datagramReceived(datagram, HERE)
-    assert held == {server: count for _, part, _ in said["held"] for server, count in part.items()}
-    assert [first for *_, first in said["held"]] == [whole, *[False] * 10][: len(said["held"])]
+    assert held == {server: count for _, part, *_ in said["held"] for server, count in part.items()}
+    assert [first for *_, first, _ in said["held"]] == [whole, *[False] * 10][: len(said["held"])]
     assert said["time"] == [(tag, round(seconds, 3), round(seconds, 5))] and said["home"][0][1] == tag
-    assert max(map(len, sent)) <= LONGEST and len(sent) <= 1 + len(held) // 60
+    assert max(map(len, sent)) <= Peers.longest and len(sent) <= 1 + len(held) // 60
 
 
 @given(st.binary(max_size=300))
