--- a/brambleplank/decide.py
+++ b/brambleplank/decide.py
@@ -127,7 +127,6 @@
         return sum(max(0, ceil((budget - (number + first) % proxies) / proxies)) for number in numbers)
 
     def slot(self, now: float, server: Server) -> int:
-        """The part of a cold server's time, of which sends are counted."""
         if server.cold_slot != (slot := int((now - server.started) / self.terms.fall_time)):
             server.cold_slot, server.cold_sent = slot, 0
         return slot
@@ -305,7 +304,6 @@
     # Danger: every proxy sees it fit in the same second and sends it all who wait; it drops them soon after.
 
     def recent(self, now: float, server: Server) -> float:
-        """Connects there, fading over the time in which a server is pushed over."""
         return server.recent * exp((server.recent_at - now) / self.terms.fall_time)
 
     def avoids(self, now: float, flow: Flow, server: Server) -> int:
@@ -539,6 +537,8 @@
         if self.keeper != self.terms.number and now > self.keeper_at + silence:
             self.forget(self.keeper)
             self.keeper, self.whole_at = self.terms.number, now + NEWS_PERIOD / 2
+            for server in self.servers.values():  # Danger: what others sent ahead of it, it does not know.
+                server.cold_slot, server.cold_sent = self.cold.slot(now, server), MOST_TOLD
             self.host.tell_held([], False, None, True)  # so that all say to it, whole, what they hold
         self.host.alarm(NEWS_PERIOD * self.rng.uniform(0.75, 1.25), self.tell_held)
 
--- a/tests/test_operating.py
+++ b/tests/test_operating.py
@@ -212,6 +212,20 @@
     ({"settings": settings(feed={}, other={"name": "feed"})}, "service_types[1].name: 'feed' is there twice"),
     ({"settings": {**SETTINGS, "policy_limits": {"max_connects": 3}}}, "policy_limits.may_probe: missing"),
     ({"settings": {**SETTINGS, "rules": []}}, "settings.rules: need an object"),
+    *(
+        ({"settings": {**SETTINGS, **wrong}}, named)
+        for wrong, named in (
+            ({"specifics": {"mode": "through"}}, "settings.specifics.mode: need one of proxy, pass"),
+            ({"specifics": {"mode": True}}, "settings.specifics.mode: need a word"),
+            ({"specifics": ["pass"]}, "settings.specifics: need an object"),
+            ({"beside": 3}, "settings.beside: need an object"),
+            ({"beside": {"balancers": -1}}, "settings.beside.balancers: need 0 at least"),
+            ({"beside": {"balancers": 2, "first": "yes"}}, "settings.beside.first: need true or false"),
+            ({"policy_limits": {**SETTINGS["policy_limits"], "may_probe": 1}}, "may_probe: need"),
+            ({"policy_limits": {**SETTINGS["policy_limits"], "peers": "no"}}, "limits.peers: need true"),
+            ({"slot_no": 1}, "settings.slot_no: need a number under settings.balancers (1)"),
+        )
+    ),
 ]
 
 
--- /dev/null
+++ b/tests/test_shapes.py
@@ -0,0 +1,102 @@
+"""Proxies of two shapes before the same servers, as during a move: real programs on loopback."""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Callable, Iterator
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from brambleplank import records
+from tests.conftest import PATIENCE, SETTINGS, Line, Program, Server, spare_address, starter, told
+
+Start = Callable[..., Program]
+LONG = 200.0  # seconds; one slot of a cold server is longer than the story
+NAMES = ("a", "b", "c", "d")
+
+
+@pytest.fixture
+def begin(tmp_path: Path) -> Iterator[Start]:
+    """Programs with a folder each, as their files differ."""
+    starters: list[Iterator[Start]] = []
+
+    def one(known: dict[str, Any], **changes: Any) -> Program:
+        folder = tmp_path / str(len(starters))
+        folder.mkdir()
+        starters.append(starter(folder, Program))
+        program: Program = next(starters[-1])(known, **changes)
+        return program
+
+    yield one
+    for each in starters:
+        next(each, None)
+
+
+def shape(number: int, of: int, beside: int, first: bool, probes: bool, mode: str) -> dict[str, Any]:
+    """Settings of one proxy; as many of the other kind stand beside it, numbered first or after."""
+    rules = {**SETTINGS["rules"], "fall_us": LONG * 1e6, "ramp_time_us": LONG * 1e6, "cold_from": 0.01}
+    return {
+        **SETTINGS, "balancers": of, "slot_no": number, "rules": rules, "specifics": {"mode": mode},
+        "policy_limits": {**SETTINGS["policy_limits"], "peers": True, "may_probe": probes},
+        **({"beside": {"balancers": beside, "first": first}} if beside else {}),
+    }
+
+
+def both(begin: Start, known: dict[str, Any], aware: bool) -> list[list[Program]]:
+    """One proxy of the old shape, which may probe, and three of the new, which packets pass through."""
+    ears = [f"127.0.0.1:{spare_address()[1]}" for _ in range(3)]
+    old = [begin(known, settings=shape(0, 1, 3 * aware, False, True, "proxy"))]
+    new = [
+        begin(
+            known, settings=shape(n, 3, 1 * aware, True, False, "pass"), peer_listen=ear, peers=ears,
+            peers_all=ears[0],
+        )
+        for n, ear in enumerate(ears)
+    ]
+    return [old, new]
+
+
+def owned_by(name: str, most: int) -> list[str]:
+    """Keys that belong to a server, on the ring of all."""
+    ring = {point: each for each in NAMES for point in records.Server(each, 0.0).points}
+    keys = []
+    for key in range(500):
+        spot = records.place_on_ring(b"key %d" % key)
+        if ring[max((point for point in ring if point <= spot), default=max(ring))] == name:
+            keys.append(f"{key:x}")
+    return keys[:most]
+
+
+def stand(programs: list[Program], keys: list[str], keep: list[Line]) -> int:
+    """How many of these flows, at each of the programs, are established; they stay."""
+    clients = [program.opening(key=key) for key in keys for program in programs]
+    keep += clients
+    return sum(client.hear().startswith("UP ") for client in clients)
+
+
+@pytest.mark.parametrize("aware", [True, False])
+def test_both_shapes_deal_one_cold_budget_keep_a_drain_and_neither_starves(begin: Start, aware: bool) -> None:
+    servers = {name: Server() for name in NAMES}
+    dials: dict[str, Any] = {name: server.dial for name, server in servers.items()}
+    known = told(41, True, **dials)
+    known["hosts"][NAMES.index("d")]["born_ms"] = round(time.time() * 1000)
+    old, new = both(begin, known, aware)
+    keep: list[Line] = []
+    # A cold server gets one connect in this slot by the sum of both kinds; the warm ones take the others.
+    assert [stand(kind, owned_by("d", 3), keep) for kind in (old, new)] == [3, 9]
+    assert servers["d"].count == (1 if aware else 2)
+    # Nothing new to one that drains, from whichever kind, once each has shown that it was told.
+    for program in (*old, *new):
+        program.tell(**{**dials, "a": (dials["a"], "draining")})
+        until = time.monotonic() + PATIENCE
+        while (sent := servers["a"].count) is not None and stand([program], owned_by("a", 1), keep):
+            if servers["a"].count == sent:
+                break
+            assert time.monotonic() < until
+    sent = servers["a"].count
+    established = [stand(kind, owned_by("a", 4) + owned_by("b", 4), keep) for kind in (old, new)]
+    assert servers["a"].count == sent
+    assert established == [8, 24]  # of each kind all that was offered
+    assert not any("fault" in line for program in (*old, *new) for line in program.lines)
