--- a/tests/test_operating.py
+++ b/tests/test_operating.py
@@ -262,3 +262,28 @@
     said = program.read_again(settings={**program.config["settings"], "balancers": 7})
     while "wait for a restart: settings.balancers" not in said:
         said = program.line("reload: ")
+
+
+class Probed(Server):
+    """Keeps the connections of probes, each with its first line."""
+
+    def serve(self, line: Line) -> None:
+        first = line.hear()
+        self.opened.put((first, line))
+        while first == "PING" and line.hear() == "PING":
+            pass
+        self.opened.put(("end", line))
+
+
+def test_the_permission_to_probe_is_given_taken_and_given_again_by_reload(run: Run) -> None:
+    server = Probed()
+    near = {**SETTINGS, "az": "a"}
+    allowed = {**near, "policy_limits": {**SETTINGS["policy_limits"], "may_probe": True}}
+    program = operated(run, server, settings=near)
+    assert program.caller("PING").hear() == "PONG"
+    assert "taken up: settings.policy_limits.may_probe" in program.read_again(settings=allowed)
+    assert server.next()[0] == "PING"
+    assert "taken up: settings.policy_limits.may_probe" in program.read_again(settings=near)
+    assert server.next()[0] == "end"  # the probe under way is closed
+    program.read_again(settings=allowed)
+    assert server.next()[0] == "PING"
