--- a/brambleplank/platform/start.py
+++ b/brambleplank/platform/start.py
@@ -115,8 +115,9 @@
         raise UnfitError(f"known: not a list of servers: {error}") from None
     check_settings(told.get("settings"))
     held = {key: before.file["settings"].get(key, "") for key in FIXED} if before else {}
+    settings = {**told["settings"], **held}
     try:
-        terms = terms_of({**told["settings"], **held}, sockets=True)
+        terms = terms_of(settings, sockets=True)
     except (KeyError, TypeError, ValueError, AttributeError) as error:
         # Danger: a kind of value that nobody thought of would end the program, or a reload, in a traceback.
         raise UnfitError(f"settings: {type(error).__name__} {error}") from None
@@ -131,18 +132,15 @@
     if not isinstance(peers, list):
         raise UnfitError(f"peers: need a list of addresses, not {peers!r:.60}")
     addresses = [address(peer, "peers") for peer in peers]
-    heard_at = address(told["peer_listen"], "peer_listen") if talks else None
-    if terms.sums and heard_at and heard_at not in addresses:
-        raise UnfitError(f"peers: has not this proxy's own peer_listen, {told['peer_listen']}")
-    # Numbers as this proxy counts its own, whichever kinds of proxies the list names.
-    first = terms.number - addresses.index(heard_at) if heard_at in addresses else 0
+    # They are of this kind, in the order of their own numbers; the other kind may be numbered first.
+    first = terms.number - settings["slot_no"]
     return Told(
         name=name,
         listen=address(os.environ.get("ROUTER_LISTEN") or told.get("listen"), "listen"),
         discovery=address(where, "discovery"),
         seed=seed,
         descriptors=descriptors,
-        peer_listen=heard_at,
+        peer_listen=address(told["peer_listen"], "peer_listen") if talks else None,
         peers_all=address(told.get("peers_all"), "peers_all") if talks else ("", 0),
         peers={each: first + i for i, each in enumerate(addresses)} if talks else {},
         mgmt=address(mgmt, "mgmt") if mgmt is not None else None,
