--- a/brambleplank/decide.py
+++ b/brambleplank/decide.py
@@ -26,7 +26,7 @@
 NEWS_PERIOD = 1.0  # seconds between two tellings of a server's message time, as hosts give them
 MOST, HALF_OPEN = 1 / 2, 1 / 4  # shares of failed connects: the gate narrows; where it then starts anew
 RELIEF, DEGREE = 1 / 3, 1 / 4  # of its own on a slow server, moved a telling; over its share, a degree worse
-ASKED, LEAST_TOLD, KEPT = 2, 1 / 16, 3  # the word for a turn; least change of a sum told; tellings it holds
+ASKED, LEAST_TOLD, KEPT = 2, 1 / 8, 3  # the word for a turn; least change of a sum told; tellings it holds
 WHOLE_EVERY, MOST_TOLD, MOST_HOMES = 12, 255, 4096  # tellings to a whole one; counts told; told homes kept
 SPOT_CUT = 96  # bits of a group's place that are not told
 ROOM_KEPT, LAST_PART = 1 / 8, 2 / 5  # of the descriptors, for answers and the list; of a stop, for moves
@@ -691,7 +691,7 @@
                 usual = (s for s in self.ring.round(spot) if s.condition is Condition.READY)
                 if server is not (self.home_told_of(now, spot) or next(usual, None)):
                     if not self.untold:
-                        self.host.alarm(NEWS_PERIOD / 16 * self.rng.random(), self.tell_homes)
+                        self.host.alarm(NEWS_PERIOD / 4 * self.rng.random(), self.tell_homes)
                     self.untold[spot] = server
         server.groups.setdefault(spot, {})[connect.flow] = None
         if self.due(connect.flow) < inf:
