--- a/tests/test_shapes.py
+++ b/tests/test_shapes.py
@@ -51,7 +51,7 @@
     new = [
         begin(
             known, settings=shape(n, 3, 1 * aware, True, False, "pass"), peer_listen=ear,
-            peers=[*ears[:n], "127.0.0.9:9", *ears[n + 1 :]],  # each sees itself elsewhere than where it listens
+            peers=[*ears[:n], "127.0.0.9:9", *ears[n + 1 :]],  # its own, as it sees it
             peers_all=ears[(n + 1) % 3],
         )
         for n, ear in enumerate(ears)
