--- a/brambleplank/decide.py
+++ b/brambleplank/decide.py
@@ -17,10 +17,11 @@
 from typing import Any
 
 from brambleplank.host import Condition, Effect, End, Entry, Host, ServiceType, Terms
-from brambleplank.records import POINTS, Connect, Flow, Server, place_on_ring
+from brambleplank.records import POINTS, SPOT_CUT, Connect, Flow, Server, place_on_ring
 
 BOUND_FACTOR, BOUND_SPARE = 2, 2  # an owner is full at twice the mean count plus two
-FULL, SLOW, HARMFUL, TRUSTED = 1, 2, 3, 8  # evidence against a server; connects that stand, to end it
+FULL, SLOW, HARMFUL = 1, 2, 3  # how strongly evidence speaks against a server
+TRUSTED = 8  # connects in a row that went well, doubling from one, before a server is trusted again
 NEVER_RAN = (End.FULL, End.UNREACHABLE, End.MOOT)
 TOO_UNUSUAL, LEARNING = 3.0, 1 / 8  # a silence that one gap in 1,000 outlasts; weight of the newest
 NEWS_PERIOD = 1.0  # seconds between two tellings of a server's message time, as hosts give them
@@ -28,7 +29,6 @@
 RELIEF, DEGREE = 1 / 3, 1 / 4  # of its own on a slow server, moved a telling; over its share, a degree worse
 ASKED, LEAST_TOLD, KEPT = 2, 1 / 8, 3  # the word for a turn; least change of a sum told; tellings it holds
 WHOLE_EVERY, MOST_TOLD, MOST_HOMES = 12, 255, 4096  # tellings to a whole one; counts told; told homes kept
-SPOT_CUT = 96  # bits of a group's place that are not told
 ROOM_KEPT, LAST_PART = 1 / 8, 2 / 5  # of the descriptors, for answers and the list; of a stop, for moves
 
 
@@ -118,7 +118,7 @@
             return False
         if self.balancer.hears_keeper(now):
             return flow.asked
-        return server.cold_sent >= self.tickets(now, server, [self.terms.number])
+        return self.tickets(now, server, [self.terms.number]) <= server.cold_sent  # a new slot first
 
     def tickets(self, now: float, server: Server, numbers: Iterable[int]) -> int:
         """How many of this slot's the proxies of these numbers have together."""
@@ -161,7 +161,7 @@
     def deal(self, now: float, server: Server) -> bool:
         """Whether one more may go there: said by the keeper alone, of the tickets of those that it hears."""
         numbers = [*self.balancer.peers, self.terms.number]
-        may = self.balancer.hears_keeper(now) and server.cold_sent < self.tickets(now, server, numbers)
+        may = self.balancer.hears_keeper(now) and self.tickets(now, server, numbers) > server.cold_sent
         server.cold_sent += may
         return may
 
@@ -555,8 +555,8 @@
     def held_told(
         self, now: float, peer: Any, held: Iterable[tuple[Server, int]], whole: bool, summed: bool = False
     ) -> None:
-        if summed:
-            return self.sum_told(now, peer, dict(held), whole)
+        if summed or (self.summed and self.hears_keeper(now)):  # Danger: what sums have would count twice.
+            return self.sum_told(now, peer, dict(held), whole) if summed else None
         if self.keeper == self.terms.number and self.hears_keeper(now) and peer not in self.peers:
             sums = [(server, min(server.held + server.others, MOST_TOLD)) for server in self.ready]
             self.host.tell_held(sums, True, peer, True)  # Danger: who starts anew would not know who is full.
--- a/brambleplank/net/peers.py
+++ b/brambleplank/net/peers.py
@@ -10,6 +10,8 @@
 
 from brambleplank.talk import FORM, Talk
 
+LONGEST = 256
+
 
 class Peers(Talk, DatagramProtocol):
     """`time_told` is given a server's tag or id; who tells is given by its number, as this proxy's own is."""
@@ -24,7 +26,7 @@
         home_told: Callable[[int, int], None], turn_told: Callable[[int, int, int], None],
         all_others: tuple[str, int], known: dict[tuple[str, int], int],
     ) -> None:
-        super().__init__(soon, time_told, held_told, home_told, turn_told)
+        super().__init__(self.write, LONGEST, soon, time_told, held_told, home_told, turn_told)
         self.reach(all_others, known)
 
     def reach(self, all_others: tuple[str, int], known: dict[tuple[str, int], int]) -> None:
@@ -32,7 +34,7 @@
         self.all_others, self.numbers = all_others, known
         self.known = {number: address for address, number in known.items()}
 
-    def say(self, message: bytes, to: int | None) -> None:
+    def write(self, message: bytes, to: int | None) -> None:
         if self.known and (to is None or to in self.known):
             self.transport.write(message, self.all_others if to is None else self.known[to])
 
--- a/brambleplank/platform/estate.py
+++ b/brambleplank/platform/estate.py
@@ -13,11 +13,10 @@
 from typing import Any, TypeVar
 
 from brambleplank.checks import UnfitError, address, need
-from brambleplank.decide import SPOT_CUT
 from brambleplank.host import Condition
 from brambleplank.net.proxy import Proxy
 from brambleplank.net.reach import reach_of
-from brambleplank.records import Server
+from brambleplank.records import SPOT_CUT, Server
 from brambleplank.rotation import unlisted
 from brambleplank.sources.platform.discovery import Discovery, GarbledError, list_of, written
 
--- a/brambleplank/records.py
+++ b/brambleplank/records.py
@@ -15,6 +15,7 @@
     md5 = partial(hashlib.md5, usedforsecurity=False)
 
 POINTS = 63  # of a server on the ring, as in the paper's tests
+SPOT_CUT = 96  # bits of a group's place on the ring that are not told
 SUFFIXES = [b"#%d" % i for i in range(POINTS)]  # made once, as this is most of what a start costs
 
 
--- a/brambleplank/talk.py
+++ b/brambleplank/talk.py
@@ -22,7 +22,7 @@
 from struct import calcsize, iter_unpack, pack
 from typing import Any
 
-from brambleplank.decide import SPOT_CUT
+from brambleplank.records import SPOT_CUT
 
 FORM = 1
 CHANGED, WHOLE, TIME, TIME_AND_USUAL, HOME, SUMS_CHANGED, SUMS_WHOLE, TURN = 1, 2, 3, 4, 5, 6, 7, 0
@@ -42,25 +42,23 @@
 
 
 class Talk:
-    """`time_told` is given a server's tag, `held_told` the teller and counts by tag."""
+    """`say` carries a message to one proxy by its number, or to all others.
 
-    longest = 256  # bytes of one message
+    `time_told` is given a server's tag, `held_told` the teller and counts by tag.
+    """
 
     def __init__(
-        self, soon: Callable[[Callable[[], None]], object],
+        self, say: Callable[[bytes, int | None], None], longest: int,
+        soon: Callable[[Callable[[], None]], object],
         time_told: Callable[[Any, float, float], None],
         held_told: Callable[[Any, dict[int, int], bool, bool], None],
         home_told: Callable[[int, int], None], turn_told: Callable[[Any, int, int], None],
     ) -> None:
-        self.soon = soon
+        self.say, self.longest, self.soon = say, longest, soon  # longest: bytes of one message
         self.time_told, self.held_told, self.home_told = time_told, held_told, home_told
         self.turn_told = turn_told
         self.unsent: list[tuple[int | None, int, bytes]] = []  # to whom, kinds and entries
 
-    def say(self, message: bytes, to: int | None) -> None:
-        """To one proxy by its number, or to all others."""
-        raise NotImplementedError
-
     def tell_time(self, tag: int, seconds: float, usual: float) -> None:
         told, fine = min(MOST, round(seconds * MS)), min(MOST, round(usual * FINE))
         if fine:
--- a/brambleplank/wirehost/door.py
+++ b/brambleplank/wirehost/door.py
@@ -21,21 +21,7 @@
 WHOLE = {"INCREMENTAL": False, "FULL": True, "SAVED": True}
 MIDFLOW, RETURNED = 8, 16
 MESSAGE_TIME = 2
-
-
-class Talks(Talk):
-    """Messages to the other instances, as text of five letters for four bytes."""
-
-    longest = 204  # which is 255 as text
-
-    def __init__(self, door: Door) -> None:
-        hear = door.time_told, door.held_told, door.home_told, door.turn_told
-        super().__init__(door.at_the_end.append, *hear)
-        self.door = door
-
-    def say(self, message: bytes, to: int | None) -> None:
-        whom = "*" if to is None else to
-        self.door.out.append(["BROADCAST_TO", self.door.name, whom, b85encode(message).decode()])
+LONGEST = 204  # bytes of a message to peers, which are 255 letters of text
 
 
 class Door:
@@ -51,7 +37,8 @@
         self.now = 0.0
         self.by_tag: dict[int, Server] = {}  # as other instances name them; made where one does
         self.balancer = Balancer(self, terms_of(info), seed)
-        self.talks = Talks(self)
+        hear = self.time_told, self.held_told, self.home_told, self.turn_told
+        self.talks = Talk(self.say, LONGEST, self.at_the_end.append, *hear)
 
     # Events, each taking the wire's fields in the wire's order.
 
@@ -143,6 +130,10 @@
         if server := self.named(tag):
             self.balancer.turn_told(self.now, teller, server, word)
 
+    def say(self, message: bytes, to: int | None) -> None:
+        whom = "*" if to is None else to
+        self.out.append(["BROADCAST_TO", self.name, whom, b85encode(message).decode()])
+
     def finish(self) -> None:
         """What was told in one event goes out together."""
         while self.at_the_end:
--- a/tests/test_shapes.py
+++ b/tests/test_shapes.py
@@ -10,6 +10,7 @@
 import pytest
 
 from brambleplank import records
+from brambleplank.terms import terms_of
 from tests.conftest import PATIENCE, SETTINGS, Line, Program, Server, spare_address, starter, told
 
 Start = Callable[..., Program]
@@ -101,3 +102,8 @@
     assert servers["a"].count == sent
     assert established == [8, 24]  # of each kind all that was offered
     assert not any("fault" in line for program in (*old, *new) for line in program.lines)
+
+
+def test_without_the_new_keys_and_with_their_defaults_the_terms_are_the_same() -> None:
+    defaults = {"specifics": {"mode": "proxy"}, "beside": {"balancers": 0, "first": True}}
+    assert terms_of(SETTINGS, sockets=True) == terms_of({**SETTINGS, **defaults}, sockets=True)
