A cold server's budget holds for the sum of all processes, by 2 root N + 2

Cause, from a trace of budget() at the excess: the process that sums took what it serves itself times the number of processes (2.1 a second x 30) as the fleet's, as if clients were even; and spread what all hold over `able`, which leaves out servers set aside, so a few refusals doubled the estimate (86 a server where 45 stood). The slack was 3 root N + 3. Ruled out: two dealers at once in the change of keeper; the same harness shows no excess from it. Two stories of cold servers now ask for the stricter bound too.

--- a/brambleplank/decide.py
+++ b/brambleplank/decide.py
@@ -84,10 +84,9 @@
     """Nothing new to a server that drains or is gone. A mid-flow flow may still reach it within the grace."""
 
     def forbids(self, now: float, flow: Flow, server: Server) -> bool:
-        if server.condition is Condition.READY:
-            return False
-        grace_over = now >= server.unready_since + self.terms.drain_grace / 2
-        return not flow.midflow or grace_over or server.condition is Condition.GONE
+        return server.condition is not Condition.READY and (
+            not flow.midflow or server.condition is Condition.GONE
+            or now >= server.unready_since + self.terms.drain_grace / 2)
 
 
 class Effects(Stage):
@@ -109,8 +108,7 @@
 class Cold(Stage):
     """Lets a server that has just started have only this proxy's own share of its budget.
 
-    Danger: proxies that know nothing of each other push it over at once. So its budget is cut into tickets,
-    dealt out by its points; where a keeper hears all, it deals, to those who have a flow for the server now.
+    Danger: all at once push it over. So its budget is cut into tickets; where a keeper hears all, it deals.
     """
 
     def forbids(self, now: float, flow: Flow, server: Server) -> bool:
@@ -138,11 +136,13 @@
         """Connects of all proxies in a slot; one harms nobody."""
         able = 1 - (1 - self.terms.cold_from) * (1 - (now - server.started) / self.terms.ramp_time)
         fleet = 1.0 if self.balancer.summed else self.terms.proxies / (1 + len(self.balancer.peers))
-        stands = able * fleet * self.balancer.usual() * server.size / self.balancer.usual_size
-        ended = able * self.terms.proxies * self.balancer.served_rate(now) / max(1, len(self.balancer.able))
-        a_second = max(stands / self.terms.ramp_time, ended)  # what stands came in a warm-up's time, or more
+        stood = fleet * self.balancer.usual() * len(self.balancer.able)
+        # Danger: what one proxy serves, taken for what each does, is far off where clients are uneven.
+        alike = min(self.terms.proxies, max(fleet, stood) / max(1, self.balancer.held))
+        stands = stood * server.size / self.balancer.usual_size / self.terms.ramp_time
+        a_second = max(stands, alike * self.balancer.served_rate(now)) * able / max(1, self.balancer.warm)
         most = self.terms.overload_factor * a_second * self.terms.fall_time
-        return max(1.0, min(most, (most + 3 * sqrt(most) + 3) / 2))  # Danger: any such time touches two slots
+        return max(1.0, min(most, most / 2 + sqrt(most)))  # Danger: any time touches two slots, rounded up
 
     def onward(self, now: float, flow: Flow) -> bool:
         server, balancer = flow.target, self.balancer
@@ -179,8 +179,8 @@
 
     def avoids(self, now: float, flow: Flow, server: Server) -> int:
         self.watch(now, server)
-        closed = server.trickle > 0 and (now < server.retry_at or len(server.waiting) >= server.trickle)
-        return HARMFUL if closed else 0
+        trickle = server.trickle
+        return HARMFUL * (trickle > 0 and (now < server.retry_at or len(server.waiting) >= trickle))
 
     def unusual(self, now: float, server: Server) -> float:
         """How unusual the present silence is: minus the logarithm of the share of gaps that outlast it."""
@@ -216,10 +216,9 @@
 
     def back(self, now: float, connect: Connect, end: End, delay: float) -> None:
         server = connect.server
-        if connect.established or end in (End.OK, End.CANCELLED, End.MOOT):
+        shared = self.balancer.gate.window < inf and end in (End.ERROR, End.TIMEOUT)  # not its fault
+        if connect.established or shared or end in (End.OK, End.CANCELLED, End.MOOT):
             return
-        if self.balancer.gate.window < inf and end in (End.ERROR, End.TIMEOUT):
-            return  # what is shared fails; the server is not to blame
         server.silence += delay if end is End.TIMEOUT else 0.0
         if end is End.TIMEOUT and not server.trickle:
             self.watch(now, server)
@@ -446,8 +445,7 @@
         self.balancer.settle(now, connect)
 
     def back(self, now: float, connect: Connect, end: End, delay: float) -> None:
-        connect.over = True
-        connect.flow.midflow = False  # whatever held it, it is set up anew from here on
+        connect.over, connect.flow.midflow = True, False  # whatever held it, it is set up anew from here on
         self.balancer.leave(connect.flow)
         connect.server.waiting.pop(connect, None)
         self.balancer.hold(connect.server, -1)
@@ -465,7 +463,7 @@
         self.able: list[Server] = []  # those of them that are warm
         self.held, self.most, self.usual_size = 0, 0, 1.0  # on ready servers, and the most; mean size
         self.standing, self.sizes = 0, 0.0  # held on all servers; their sizes together
-        self.newest, self.some_dead = 0.0, False  # the latest start of one of them; whether one may be dead
+        self.newest, self.some_dead, self.warm = 0.0, False, 0  # latest start; may one be dead; how many warm
         self.gap, self.margin = 0.0, 2 * terms.tick  # usual time to an answer, over the fleet; a spare
         self.peers: dict[Any, float] = {}  # proxies that told what they hold, and when
         self.told_of: dict[Server, int] = {}  # what this one told
@@ -589,6 +587,7 @@
     def look(self, now: float) -> None:
         """Danger: servers that have just joined, or are dead, look like room, and the others too full."""
         warm, self.able = max(0.0, now - self.terms.ramp_time), self.ready
+        self.warm = sum(s.started <= warm for s in self.ready)
         if self.newest > warm or self.some_dead:
             self.able = [s for s in self.ready if not (s.dead or s.started > warm)] or self.ready
         held = self.standing + (sum(s.others for s in self.servers.values()) if self.peers else 0)
@@ -596,7 +595,7 @@
 
     def measure(self, now: float) -> None:
         """Probes this zone's servers; from afar a probe's delay says less, so only for want of another."""
-        for server in self.ready:  # Danger: where no proxy of its zone speaks of one, none sees it strained.
+        for server in self.ready:  # Danger: unspoken of, none sees its strain; a cold one falls by probes.
             silent = now - max(server.told_at, self.begun) > NEWS_PERIOD * self.rng.uniform(4, 8)
             near = server.zone == self.terms.zone or (self.terms.peers and server.held and silent)
             if near and now >= server.probe_at:
@@ -677,9 +676,8 @@
     def hold(self, server: Server, change: int) -> None:
         server.held += change
         self.standing += change
-        if server.condition is Condition.READY:
-            self.held += change
-            self.most = max(self.most, self.held)
+        self.held += change * (server.condition is Condition.READY)
+        self.most = max(self.most, self.held)
 
     def settle(self, now: float, connect: Connect) -> None:
         connect.established = True
@@ -800,6 +798,6 @@
 
     def list_failed(self, now: float) -> None:
         """Danger: every proxy asks again at once and the list's one service never catches up."""
-        self.failures += 1
-        wait = self.terms.ask_within / 16 * 2 ** min(self.failures, 3)
+        self.failures = min(self.failures + 1, 3)
+        wait = self.terms.ask_within / 16 * 2**self.failures
         self.host.alarm(wait * self.rng.uniform(0.5, 1.0), lambda at: self.host.follow_list())
--- /dev/null
+++ b/tests/test_cold_budget.py
@@ -0,0 +1,133 @@
+"""A cold server's budget over whole fleets in virtual time: what all processes send it together."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+from itertools import count
+from math import inf, sqrt
+from random import Random
+from typing import Any
+
+import pytest
+
+from brambleplank.decide import Balancer
+from brambleplank.host import Condition, Effect, End
+from brambleplank.records import place_on_ring
+from tests.conftest import TERMS, Fake, Hearing, fleet
+from tests.test_stories import passing, together
+
+COLD, WARM, STEP = "10.0.0.9:80", 5, 0.05
+COME, LAST = 30, 10.0  # flows a second over the fleet; seconds that one stands, in the mean
+FIRST = 15.0  # seconds until the server starts
+UNEVEN = (0.4, 0.7, 1.0, 1.0, 1.0, 3.0)  # times the mean that a process has of the clients
+
+
+class Fleet:
+    """Processes with uneven shares of the clients; from the start on, all flows belong to the cold server."""
+
+    def __init__(self, processes: int, kind: type[Fake], trouble: str, seed: int) -> None:
+        self.kind, self.trouble, self.rng = kind, trouble, Random(seed)
+        self.fakes: list[Any] = fleet(processes, kind)
+        self.weights = [self.rng.choice(UNEVEN) for _ in self.fakes]
+        self.live = list(range(processes))
+        self.sent: list[float] = []
+        self.starts: list[float] = []
+        self.standing: list[tuple[float, Any, Any]] = []
+        self.keys = count()
+        self.began = self.fakes[0].now
+
+    def at(self, seconds: float) -> bool:
+        return bool(abs(self.fakes[0].now - self.began - seconds) < STEP / 2)
+
+    def keeper(self) -> Any:
+        number = self.fakes[-1].proxy.keeper
+        return next((fake for fake in self.fakes if fake.proxy.terms.number == number), None)
+
+    def meet(self) -> None:
+        again = (18.0, 20.5) if self.trouble == "restarts" else ()
+        if any(self.at(when) for when in (FIRST, *again)):
+            self.starts.append(self.fakes[0].now)
+            for fake in self.fakes:
+                fake.told({COLD: Condition.READY}, started=fake.now)
+        keeper = self.keeper() if self.at(17.0) else None
+        if keeper and self.trouble in ("dead", "stalled"):
+            keeper.others = []  # what it says is not heard
+            if self.trouble == "dead":
+                self.live.remove(self.fakes.index(keeper))
+                for fake in self.fakes:
+                    fake.others = [other for other in fake.others if other is not keeper]
+        if self.trouble == "deaf" and self.at(17.0):
+            for fake in self.fakes:
+                fake.others = []
+        if self.trouble == "new" and self.at(16.2):
+            for number in self.rng.sample(self.live, 7 * len(self.live) // 10):
+                self.anew(self.fakes[number])
+
+    def anew(self, fake: Fake) -> None:
+        """A process starts again and knows nothing."""
+        terms = fake.proxy.terms
+        fake.alarms = []
+        fake.proxy = Balancer(fake, terms, 1000 + terms.number)
+        fake.told({f"10.0.0.{n}:80": Condition.READY for n in range(WARM)}, whole=True)
+        fake.told({COLD: Condition.READY}, started=self.starts[-1])
+        self.standing = [each for each in self.standing if each[1] is not fake]
+
+    def key(self) -> int:
+        ring = self.fakes[0].proxy.ring
+        return next(
+            key for key in self.keys
+            if not self.starts or getattr(ring.owner(place_on_ring(b"key %d" % key)), "id", "") == COLD
+        )
+
+    def come(self) -> None:
+        fake = self.fakes[self.rng.choices(self.live, [self.weights[n] for n in self.live])[0]]
+        flow = fake.come(self.key())
+        while flow.out:
+            self.sent += [fake.now] if flow.out.server.id == COLD else []
+            if self.rng.random() < 0.1:
+                fake.end(flow, End.FULL)  # it is turned away, and goes again
+            else:
+                fake.stand(flow)
+                self.standing.append((fake.now + LAST * self.rng.uniform(0.5, 1.5), fake, flow))
+                return
+
+    def play(self) -> None:
+        while self.fakes[0].now < self.began + FIRST + TERMS.ramp_time:
+            for fake in self.fakes:
+                fake.pass_time(STEP)
+            self.meet()
+            for _ in range(int(COME * STEP) + (self.rng.random() < COME * STEP % 1)):
+                self.come()
+            for until, fake, flow in [each for each in self.standing if each[0] <= self.fakes[0].now]:
+                fake.end(flow, End.OK, complete=True)
+                self.standing.remove((until, fake, flow))
+
+    def allowed(self, at: float, started: float) -> float:
+        """N: what the settings let it have in the time in which it falls, by what all really serve."""
+        able = 1 - (1 - TERMS.cold_from) * (1 - (at - started) / TERMS.ramp_time)
+        return TERMS.overload_factor * able * TERMS.fall_time * COME / WARM
+
+
+HEARING = {  # the seeds at which what befalls those that hear each other hurt most, by their number
+    "none": {3: 5, 20: 0, 30: 3}, "dead": {3: 0, 20: 7, 30: 7}, "stalled": {3: 2, 20: 5, 30: 1},
+    "deaf": {3: 7, 20: 7, 30: 3}, "new": {3: 2, 20: 0, 30: 3}, "restarts": {3: 5, 20: 1, 30: 3},
+}
+CASES: list[tuple[type[Fake], int, str, int]] = [
+    (Hearing, n, trouble, seed) for trouble, seeds in HEARING.items() for n, seed in seeds.items()
+]
+CASES += [(Fake, 1, "none", 4), (Fake, 1, "restarts", 2), (Fake, 20, "none", 0), (Fake, 30, "restarts", 2)]
+
+
+@pytest.mark.parametrize(("kind", "processes", "trouble", "seed"), CASES)
+def test_all_processes_together_keep_to_a_cold_servers_budget(
+    kind: type[Fake], processes: int, trouble: str, seed: int
+) -> None:
+    whole = Fleet(processes, kind, trouble, seed)
+    whole.play()
+    for started, until in zip(whole.starts, [*whole.starts[1:], inf], strict=True):
+        sent = [at for at in whole.sent if started <= at < until]
+        for last in sent:
+            in_time = sum(last - TERMS.fall_time < at <= last for at in sent)
+            allowed = whole.allowed(last, started)
+            assert in_time <= allowed + 2 * sqrt(allowed) + 2, f"{in_time} at {last - started:.2f} s"
+    assert len(whole.sent) > 40  # it is warmed up all the same
--- a/tests/test_stories.py
+++ b/tests/test_stories.py
@@ -131,8 +131,8 @@
 @pytest.mark.parametrize("how", [(1, 0.2, 1), (3, 0.2, 1), (40, 0.2, 1), (40, 0.2, 5), (40, 2.0, 1)])
 def test_a_fleet_keeps_to_a_cold_servers_budget_steady_and_in_bursts(how: tuple[int, float, int]) -> None:
     sent, warm = cold_sends(*how)
-    # Two slots' tickets lie in the worst window, each rounded up: together what its rule allows.
-    assert worst(sent) <= min(2 * warm, warm + 3 * warm**0.5 + 3) + 2
+    # Two slots' tickets lie in the worst window: together what its rule allows.
+    assert worst(sent) <= min(2 * warm, warm + 2 * warm**0.5 + 2)
     assert len(sent) > 20 / how[2]  # what it may get, it gets, though most were killed
 
 
@@ -712,7 +712,7 @@
     sent = sum(server.id == cold for fake in fakes for _, server, _ in fake.asked("connect"))
     able, usual = 0.2 + 0.8 * 6.1 / TERMS.ramp_time, keeper.proxy.usual()
     allowed = TERMS.overload_factor * TERMS.fall_time * able * usual / TERMS.ramp_time
-    assert ceil(budget) < sent <= allowed + 3 * allowed**0.5 + 3 + 2
+    assert ceil(budget) < sent <= allowed + 2 * allowed**0.5 + 2
 
 
 def test_a_flow_whose_question_about_a_cold_server_is_lost_goes_elsewhere_in_time() -> None:
