A turn at a cold server is for one connect, not for a further one there

Seen by reading: Flow.turn stayed set, so Cold.forbids let a repeat of the same flow at the same cold server pass without a ticket; retries count against the server's budget too. Change: the turn is taken as the connect goes out. The test fails without it (two connects for one turn).

--- a/brambleplank/decide.py
+++ b/brambleplank/decide.py
@@ -146,8 +146,9 @@
 
     def onward(self, now: float, flow: Flow) -> bool:
         server, balancer = flow.target, self.balancer
-        if flow.turn is server or not self.cold(now, server) or not balancer.hears_keeper(now):
-            server.cold_sent += flow.turn is not server
+        turn, flow.turn = flow.turn is server, None  # Danger: kept, it lets a further connect go.
+        if turn or not self.cold(now, server) or not balancer.hears_keeper(now):
+            server.cold_sent += not turn
             return True
         flow.asked, server.asking[flow] = True, None
         if balancer.keeper == self.terms.number:
--- a/tests/test_cold_budget.py
+++ b/tests/test_cold_budget.py
@@ -131,3 +131,17 @@
             allowed = whole.allowed(last, started)
             assert in_time <= allowed + 2 * sqrt(allowed) + 2, f"{in_time} at {last - started:.2f} s"
     assert len(whole.sent) > 40  # it is warmed up all the same
+
+
+def test_a_turn_at_a_cold_server_is_for_one_connect_not_for_a_further_one() -> None:
+    fakes = passing(3)
+    together(fakes, 6.0)
+    keeper = next(fake for fake in fakes if fake.proxy.keeper == fake.proxy.terms.number)
+    for server in keeper.proxy.ready:
+        keeper.told({server.id: Condition.GONE})
+    keeper.told({COLD: Condition.READY}, started=keeper.now)
+    keeper.pass_time(0.1)  # its budget is the one connect that harms nobody
+    flow = keeper.come(7)
+    assert [connect.server.id for connect in flow.connects] == [COLD]
+    keeper.end(flow, End.TIMEOUT, 0.01)
+    assert len(flow.connects) == 1 and keeper.asked("reject")
