Processes that hear nobody do not probe a cold server over

Seen by reading: where peers may not speak, every process of a zone probes a server that has just started once a second, then each 3 s, by itself; a probe there is up to a request of mean work (2.8 to 5.6 ms beside 2.4 to 13 ms at the other deployment), outside the budget. Change: without peers a cold server is not probed until it is warm. The test fails without it.

--- a/brambleplank/decide.py
+++ b/brambleplank/decide.py
@@ -599,7 +599,7 @@
         for server in self.ready:  # Danger: unspoken of, none sees its strain; a cold one falls by probes.
             silent = now - max(server.told_at, self.begun) > NEWS_PERIOD * self.rng.uniform(4, 8)
             near = server.zone == self.terms.zone or (self.terms.peers and server.held and silent)
-            if near and now >= server.probe_at:
+            if near and now >= server.probe_at and (self.terms.peers or not self.cold.cold(now, server)):
                 server.probe_at = now + self.between_probes(now, server)
                 self.host.probe(server)
         self.host.alarm(NEWS_PERIOD * self.rng.uniform(1 / 16, 1 / 8), self.measure)
--- a/tests/test_cold_budget.py
+++ b/tests/test_cold_budget.py
@@ -145,3 +145,14 @@
     assert [connect.server.id for connect in flow.connects] == [COLD]
     keeper.end(flow, End.TIMEOUT, 0.01)
     assert len(flow.connects) == 1 and keeper.asked("reject")
+
+
+def test_processes_that_hear_nobody_do_not_probe_a_cold_server_over() -> None:
+    alone, heard = (Fake(measures=True, peers=peers, zone="a") for peers in (False, True))
+    for fake in (alone, heard):
+        fake.told({COLD: Condition.READY}, started=fake.now)
+        fake.pass_time(TERMS.ramp_time - 1.0)
+    assert COLD not in {server.id for server in alone.asked("probe")}
+    assert {server.id for server in alone.asked("probe")} and COLD in {s.id for s in heard.asked("probe")}
+    alone.pass_time(5.0)
+    assert COLD in {server.id for server in alone.asked("probe")}
