A referenced flow goes again only if its connection is up within the window

Seen by reading: the window was compared with the moment of the dial, but the opening goes out once the connection is up, up to the connect limit later: beyond a short window that is a second effect. Change: the connect limit counts. The test (window 0.5 s, repeat at 0.4 s) fails without it.

--- a/brambleplank/decide.py
+++ b/brambleplank/decide.py
@@ -96,7 +96,8 @@
         first, kind = flow.may_have_run, flow.service_type
         if first is None or kind.effect is Effect.REPEATABLE:
             return False
-        if kind.effect is Effect.ONCE_ONLY or now >= first.sent + kind.window - self.balancer.margin:
+        late = now + self.terms.connect_within + self.balancer.margin  # Danger: it is sent once it is up
+        if kind.effect is Effect.ONCE_ONLY or late >= first.sent + kind.window:
             return True
         beyond = {"all": False, "zone": server.zone != first.server.zone}
         return beyond.get(kind.group, server.cell != first.server.cell)
--- a/tests/test_cold_budget.py
+++ b/tests/test_cold_budget.py
@@ -156,3 +156,15 @@
     assert {server.id for server in alone.asked("probe")} and COLD in {s.id for s in heard.asked("probe")}
     alone.pass_time(5.0)
     assert COLD in {server.id for server in alone.asked("probe")}
+
+
+def test_a_referenced_flow_goes_again_only_if_it_is_up_within_the_window() -> None:
+    kind = replace(TERMS.service_types["feed"], effect=Effect.REFERENCED, window=0.5)
+    fake = Fake(service_types={"feed": kind})
+    late = fake.come(1)
+    fake.pass_time(0.4)  # a connection takes up to 0.15 s to come up, and only then it is sent
+    fake.end(late, End.TIMEOUT, 0.4)
+    soon = fake.come(1)
+    fake.pass_time(0.3)
+    fake.end(soon, End.TIMEOUT, 0.3)
+    assert (len(late.connects), len(soon.connects)) == (1, 2)
