A flow that waits for a turn as a stop begins is answered before its end

Seen by reading: Balancer.stop sets an end to flows whose connect is out, and passed over those that wait for a cold server's turn; with a deadline beyond the stop they were placed anew and unanswered at its end. Change: they get the same end. The test fails without it.

--- a/brambleplank/decide.py
+++ b/brambleplank/decide.py
@@ -633,8 +633,8 @@
         self.stop_at = now + self.terms.leave_within
         for server in self.servers.values():
             self.dismiss(now, *chain.from_iterable(server.groups.values()))
-            for connect in server.waiting:  # Danger: who waits longer than this proxy runs gets no answer.
-                self.host.alarm(self.terms.leave_within, partial(self.promise.expire, flow=connect.flow))
+            for flow in [*(c.flow for c in server.waiting), *server.asking]:  # Danger: left unanswered.
+                self.host.alarm(self.terms.leave_within, partial(self.promise.expire, flow=flow))
 
     def begin(self) -> None:
         """What is permitted starts, if it does not run yet; what no longer is, the host leaves undone."""
--- a/tests/test_cold_budget.py
+++ b/tests/test_cold_budget.py
@@ -168,3 +168,18 @@
     fake.pass_time(0.3)
     fake.end(soon, End.TIMEOUT, 0.3)
     assert (len(late.connects), len(soon.connects)) == (1, 2)
+
+
+def test_a_flow_that_waits_for_a_turn_as_a_stop_begins_is_answered_before_its_end() -> None:
+    fakes = passing(3)
+    together(fakes, 6.0)
+    asks = next(fake for fake in fakes if fake.proxy.keeper != fake.proxy.terms.number)
+    asks.others = []
+    asks.told({server.id: Condition.GONE for server in asks.proxy.ready})
+    asks.told({COLD: Condition.READY}, started=asks.now)
+    flow = asks.come(7, wait=4.5)
+    assert not flow.connects
+    asks.proxy.stop(asks.now)
+    asks.told({"10.0.0.1:80": Condition.READY})  # it goes there once its question is given up
+    asks.pass_time(TERMS.leave_within + 0.01)
+    assert flow.answered
