An UP without its receipt is an answer outside the protocol

Seen by reading: a line UP, alone or with anything behind it, established a flow; cut or spoilt on the way it served the client with what no server made for it. Change: UP, one space and one word, else it may have run. The test fails without it, on the platform and as a sidecar.

--- a/brambleplank/fronts/line/connects.py
+++ b/brambleplank/fronts/line/connects.py
@@ -18,6 +18,7 @@
 from brambleplank.seams import Client, Reach
 
 WAIT = re.compile(rb"(?<=[ ,])d=\d+")
+RECEIPT = re.compile(rb"UP [!-~]+")
 LONGEST = 4096  # bytes of a line, its end included
 STAND_WITHIN = 40.0  # seconds for what stood there before the start; later it counts as lost
 END = b"\r\n"
@@ -126,7 +127,7 @@
             return
         if self.up:
             self.established_line(line)
-        elif line.startswith(b"UP ") or line == b"UP":
+        elif RECEIPT.fullmatch(line):
             self.stand(line)
         else:
             # Danger: an answer outside the protocol proves nothing, so it may have run.
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -72,3 +72,11 @@
     client.end()
     assert program.opening().hear() == "UP r1" and server.count == 1
     assert "set aside" not in program.stop()
+
+
+def test_up_without_a_receipt_is_no_answer_that_a_server_made(run_both: Run) -> None:
+    for answer in ("UP", "UP ", "UP r1 r2", "UPr1"):
+        program = run_both(fleet(Server(answer)))
+        client = program.opening(kind="order")
+        assert (client.hear(), client.hear()) == ("FAIL", "")
+        program.stop()
