Idle clients are closed in two steps and never take the last descriptors

Seen: with 64 descriptors for real (rlimit), discovery down and 300 idle clients, a drain told at its return was not followed within 3 s: Door.room left out those shown out, whose descriptors are still taken, so more were let in than there is room for. And an idle or crowded client was closed at once: an opening that arrived in that moment made it a reset, with its answer lost (a second line from it failed). Change: room is never beyond the last sixteenth; an idle or crowded client gets the end of our side first, what it still sends is read and not sent on, and its descriptor is free 0.3 s later (0.1 s where it is crowded). Both tests fail without it.

--- a/brambleplank/fronts/line/clients.py
+++ b/brambleplank/fronts/line/clients.py
@@ -23,6 +23,7 @@
 FIRST_LINE_WITHIN = 2.0  # seconds from its connection to its whole OPEN; it sends that as it connects
 READ_ON = 64 * 1024  # bytes that are still read of a client that has had its last line
 SHORT_LINGER = 0.3  # seconds to read the answer, for a client that keeps to no protocol
+SHOWN_OUT_LINGER = 0.1  # the same where its descriptor is needed
 TURNED_AWAY = frozenset(("garbled", "early", "copied", "idle", "crowded", "silent", "pinged"))
 
 
@@ -164,8 +165,8 @@
         self.proxy.ended(self, self.done in TURNED_AWAY)
         self.proxy.door.answered(self)
         self.setRawMode()
-        if reset or code == "idle":
-            self.transport.leave(reset)
+        if reset:
+            self.transport.leave(True)
             return
         if last:
             self.sendLine(last)
@@ -188,8 +189,12 @@
 
     def show_out(self) -> None:
         """There is no room for it to stand about."""
+        if self.done:
+            self.transport.loseConnection()
+            return
+        # Danger: closed at once over an opening that is just arriving, it would be reset and lose its answer.
         self.finish("crowded", b"BUSY")
-        self.transport.loseConnection()
+        self.setTimeout(SHOWN_OUT_LINGER)
 
     def lineLengthExceeded(self, line: bytes) -> None:  # noqa: N802
         if self.done:
--- a/brambleplank/net/door.py
+++ b/brambleplank/net/door.py
@@ -115,9 +115,8 @@
 
     def room(self) -> int:
         """How many more may be let in now."""
-        if self.waiting or self.leaving:
-            return -self.beyond()
-        return int(LAST * self.descriptors) - self.in_use
+        most = int(LAST * self.descriptors) - self.in_use
+        return min(most, -self.beyond()) if self.waiting or self.leaving else most
 
     def let_in(self) -> None:
         """Danger: accepted beyond that, they would hold what the next flows need; the kernel keeps them."""
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -80,3 +80,39 @@
         client = program.opening(kind="order")
         assert (client.hear(), client.hear()) == ("FAIL", "")
         program.stop()
+
+
+IDLE_SOON = "from brambleplank.fronts.line import clients\nclients.FIRST_LINE_WITHIN = 0.3"
+
+
+def test_an_opening_that_crosses_the_close_of_an_idle_client_is_not_reset_and_not_sent_on(run: Run) -> None:
+    server = Server()
+    program = ready(run, server, patch=IDLE_SOON)
+    idle = program.caller()
+    assert idle.hear() == ""
+    for n in range(3):  # one that was on its way; of a connection that was reset the next would fail
+        idle.say(f"OPEN 1{n} 7f c=feed,d=900")
+    assert program.opening().hear() == "UP r1"
+    assert idle.hear() == "" and server.count == 1
+
+
+def test_idle_clients_that_fill_the_descriptors_while_discovery_is_down_keep_no_drain_from_being_followed(
+    run: Run,
+) -> None:
+    one, other = Server(), Server("UP r2")
+    least = "import resource\nresource.setrlimit(resource.RLIMIT_NOFILE, (64, 64))"
+    program = run(fleet(one, other), limits={"sockets": 64}, patch=least)
+    program.discovery.asked.get(timeout=15)  # and no answer: it is down
+    crowd = []
+    for _ in range(150):
+        crowd.append(program.caller())
+        crowd[-1].conn.settimeout(3.0)
+    for _ in range(3):
+        program.discovery.asked.get(timeout=15)
+    crowd += [program.caller() for _ in range(150)]
+    _, watch = program.discovery.watch()
+    Discovery.tell(watch, json.dumps(told(42, False, s0=(one.dial, "draining"))))
+    started = time.monotonic()
+    while program.opening("ab").hear() != "UP r2" or program.opening("cd").hear() != "UP r2":
+        assert time.monotonic() < started + 3.0
+    assert "fault" not in program.stop()
