A planned stop waits for who reads on, and is one during the start too

Seen by reading, each then forced: SIGTERM before its handler was set, during the imports, the reading of the file or begin(), ended the process by the signal (-15), over clients that were in the kernel's queue by then; empty() looked at flows alone, so a client with an answer that it was reading, or one held back in the kernel, was cut off; who rested until the end of a stop was closed by the process's end, in a reset if it sent something just then. Change: the handler is set before the imports (nobody is let in: exit 0) and is the planned stop from before the listening on; empty() waits for answers that are read (half a second beyond the stop's time at most) and for who is held back, looks after what has arrived was read, and tells who rests to come again.

--- a/brambleplank/net/proxy.py
+++ b/brambleplank/net/proxy.py
@@ -25,6 +25,7 @@
 TAKE_UP = 40.0  # seconds after the start in which connections from before it are taken up
 FAILED = (End.ERROR, End.TIMEOUT, End.UNREACHABLE, End.RESET)  # what speaks against a server, over a fleet
 LAST_COME = 0.5  # seconds after the call to stop in which clients may still come
+LAST_READ = 0.5  # seconds after the end of a stop in which answers may still be read
 
 
 class Proxy:
@@ -427,16 +428,23 @@
         self.stopping = True
         self.log_lines.say("stop: told to leave")
         self.balancer.stop(self.clock.now())
-        self.clock.later(LOOK if self.succeeded else LAST_COME, self.empty)
+        self.clock.after_reads(LOOK if self.succeeded else LAST_COME, self.empty)
         if self.succeeded:
             for client in [*self.clients, *self.door.waiting]:
                 self.hand_on(client)
 
     def empty(self) -> None:
-        # Danger: who has connected and not said all yet would be cut off; nobody waits longer than this.
-        coming = self.door.waiting and self.clock.now() < self.balancer.stop_at
-        if self.clients or coming:
-            self.clock.later(LOOK, self.empty)
+        # Danger: who has connected and not said all yet would be cut off, in the kernel too, and who has an
+        # answer that is not read yet would lose it; nobody waits longer than this.
+        door, now = self.door, self.clock.now()
+        over = now >= self.balancer.stop_at
+        for client in list(door.waiting) if over else ():
+            client.show_out()
+        coming = door.waiting or any(listener.held for listener in door.listeners)
+        reading = door.leaving or door.shown_out
+        late = now >= self.balancer.stop_at + LAST_READ
+        if self.clients or (coming and not over) or (reading and not late):
+            self.clock.after_reads(LOOK, self.empty)
         else:
             self.log_lines.say("stop: empty")
             self.emptied()
--- a/brambleplank/platform/run.py
+++ b/brambleplank/platform/run.py
@@ -212,10 +212,13 @@
 
 
 def main() -> int:
-    signal.signal(signal.SIGHUP, signal.SIG_IGN)  # Danger: one that comes before all is set up would end it.
+    # Danger: a signal before all is set up would end it, over clients in the kernel's queue from there on.
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(0))
     try:
         told = start.read()
         program = Program(told)
+        signal.signal(signal.SIGTERM, lambda *_: reactor.callFromThread(program.proxy.stop))
         if told.mgmt:
             program.begin_beside(told.mgmt)
         else:
@@ -229,7 +232,6 @@
         print(f"brambleplank: {key}: {cannot.interface}:{cannot.port}: {cannot.socketError}", file=sys.stderr)
         return 2
     watch(program.proxy)
-    signal.signal(signal.SIGTERM, lambda *_: reactor.callFromThread(program.proxy.stop))
     signal.signal(signal.SIGHUP, lambda *_: reactor.callFromThread(program.read_again))
     reactor.run(installSignalHandlers=False)
     return 0
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -96,6 +96,35 @@
     assert idle.hear() == "" and server.count == 1
 
 
+def test_who_rests_until_the_end_of_a_stop_is_told_to_come_again_before_the_process_ends(run: Run) -> None:
+    program = ready(run, Server())
+    resting = program.caller()
+    assert program.opening().hear() == "UP r1"
+    program.process.send_signal(signal.SIGTERM)
+    assert (resting.hear(), resting.hear()) == ("BUSY", "")
+    program.log()
+    assert program.process.returncode == 0
+
+
+@pytest.mark.parametrize("where", ["start.read", "Program.begin"])
+def test_a_stop_that_comes_during_the_start_ends_it_with_zero(run: Run, where: str) -> None:
+    patch = f"""
+import os, signal
+from brambleplank.platform import run, start
+from brambleplank.platform.run import Program
+sound = {where}
+def told_to_end(*what):
+    os.kill(os.getpid(), signal.SIGTERM)
+    os.kill(os.getpid(), signal.SIGTERM)
+    return sound(*what)
+{where} = told_to_end
+"""
+    program = run(fleet(Server()), patch=patch)
+    said = program.log()
+    assert program.process.returncode == 0 and "Traceback" not in said
+    assert ("stop: empty" in said) == (where == "Program.begin")
+
+
 def test_idle_clients_that_fill_the_descriptors_while_discovery_is_down_keep_no_drain_from_being_followed(
     run: Run,
 ) -> None:
@@ -116,3 +145,14 @@
     while program.opening("ab").hear() != "UP r2" or program.opening("cd").hear() != "UP r2":
         assert time.monotonic() < started + 3.0
     assert "fault" not in program.stop()
+
+
+def test_who_has_an_answer_and_reads_on_is_waited_for_in_a_stop(run: Run) -> None:
+    program = ready(run, Server(), patch=IDLE_SOON.replace("FIRST_LINE_WITHIN = 0.3", "SHORT_LINGER = 9"))
+    bad = program.caller("frob")
+    assert bad.hear() == "ERR"
+    program.process.send_signal(signal.SIGTERM)
+    with pytest.raises(subprocess.TimeoutExpired):
+        program.process.wait(1.2)  # nobody else is there, and clients may come for 0.5 s
+    bad.end()
+    assert program.process.wait(1.0) == 0
