A start waits for an address that the process before it still holds

Seen by reading: only where operators call was an address in use waited for, and never that of datagrams; a process started while the one before it still empties ended with 2, which is a refusal to start. Change: both addresses are waited for, for 5 s at most, and the log says so. Both tests fail without it.

--- a/brambleplank/platform/run.py
+++ b/brambleplank/platform/run.py
@@ -8,6 +8,7 @@
 import socket
 import sys
 import time
+from collections.abc import Callable
 from typing import Any
 
 from twisted.internet import error
@@ -25,7 +26,7 @@
 from brambleplank.platform import start
 from brambleplank.sources.platform.discovery import Discovery
 
-FREE_WITHIN = 5.0  # seconds for an address to come free that is in use at the start, where operators call
+FREE_WITHIN = 5.0  # seconds for an address to come free that is in use at the start
 FREE_LOOK = 0.02  # seconds between two tries; nothing else runs in this process yet
 
 
@@ -87,9 +88,9 @@
             return port
         host, number = self.told.peer_listen
         # An upgrade's second process hears beside this one.
-        return reactor.listenMulticast(
+        return self.once_free(lambda: reactor.listenMulticast(
             number, self.proxy.peers, interface=host, listenMultiple=bool(self.told.mgmt)
-        )
+        ))
 
     def let_in(self, adopted: socket.socket | None) -> Any:
         """Where clients come."""
@@ -103,15 +104,21 @@
             # An upgrade's second process listens beside this one.
             port._reusePort = bool(self.told.mgmt)
         self.proxy.door.listeners.append(port)
-        until = time.monotonic() + (FREE_WITHIN if self.told.mgmt else 0)
+        self.once_free(port.startListening)
+        return port
+
+    def once_free(self, listen: Callable[[], Any]) -> Any:
+        """Danger: a process of this proxy that is still emptying holds the address until it ends."""
+        until, said = time.monotonic() + FREE_WITHIN, False
         while True:
             try:
-                port.startListening()
-                return port
+                return listen()
             except error.CannotListenError as cannot:
-                # Danger: a process of this proxy that knows no upgrades holds the address until it ends.
                 if cannot.socketError.errno != errno.EADDRINUSE or time.monotonic() >= until:
                     raise
+                if not said:
+                    self.proxy.log(f"start: {cannot.interface}:{cannot.port} is in use, waiting for it")
+                said = True
             time.sleep(FREE_LOOK)
 
     def begin(self) -> None:
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -125,6 +125,27 @@
     assert ("stop: empty" in said) == (where == "Program.begin")
 
 
+@pytest.mark.parametrize("held", ["listen", "peer_listen"])
+def test_an_address_that_the_process_before_still_holds_is_waited_for(run: Run, held: str) -> None:
+    where = spare_address()
+    kind = socket.SOCK_STREAM if held == "listen" else socket.SOCK_DGRAM
+    before = socket.socket(socket.AF_INET, kind)
+    before.bind(where)
+    if held == "listen":
+        before.listen()
+    address = f"127.0.0.1:{where[1]}"
+    settings = {**SETTINGS, "policy_limits": {**SETTINGS["policy_limits"], "peers": True}}
+    own = f"127.0.0.1:{spare_address()[1]}" if held == "listen" else address
+    program = run(
+        fleet(Server()), settings=settings, peer_listen=own, peers=[own], peers_all="127.0.0.1:9",
+        **({"listen": address} if held == "listen" else {}),
+    )
+    program.line("is in use, waiting")
+    before.close()
+    program.listen = where if held == "listen" else program.listen
+    assert program.opening().hear() == "UP r1"
+
+
 def test_idle_clients_that_fill_the_descriptors_while_discovery_is_down_keep_no_drain_from_being_followed(
     run: Run,
 ) -> None:
