Probes leave a quarter of the descriptors to flows, answers and the list

Seen by reading, then forced: one standing connection a server is held by probes; with 70 servers and 64 descriptors all were taken by them and every flow was rejected. Change: no new probe where under a quarter is free. The test fails without it.

--- a/brambleplank/net/proxy.py
+++ b/brambleplank/net/proxy.py
@@ -20,6 +20,7 @@
 from brambleplank.talk import tag_of
 
 LOOK = 0.1  # seconds between two looks
+PROBES_FROM = 1 / 4  # share of the descriptors that is left to others
 SILENT = 1.0  # seconds after which a line without an answer is spoken of
 TELLING = 1.0  # seconds between two tellings of one server, at least
 TAKE_UP = 40.0  # seconds after the start in which connections from before it are taken up
@@ -363,7 +364,8 @@
         self.clock.later(0, self.tell_over, flow, connect, End.CANCELLED)
 
     def probe(self, server: Server) -> None:
-        if self.terms.measures and not self.succeeded:
+        # Danger: descriptors that a probe takes near the end are those of the list and of answers.
+        if self.terms.measures and not self.succeeded and self.door.free() > PROBES_FROM:
             self.probes.send(server)
 
     def tell_peers(self, server: Server, seconds: float) -> None:
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -168,6 +168,23 @@
     assert "fault" not in program.stop()
 
 
+def test_probes_of_many_servers_leave_descriptors_for_flows(run: Run) -> None:
+    server = Server()
+    limits = {**SETTINGS["policy_limits"], "may_probe": True}
+    program = run(
+        told(41, True, **{f"s{n}": server.dial for n in range(70)}), limits={"sockets": 64},
+        settings={**SETTINGS, "az": "a", "policy_limits": limits},
+    )
+    until = time.monotonic() + 2.5  # all are probed by then, if they may
+    heard: list[str] = []
+    while time.monotonic() < until:
+        client = program.opening()
+        heard.append(client.hear())
+        with suppress(OSError):
+            client.end()
+    assert set(heard) == {"UP r1"}
+
+
 def test_who_has_an_answer_and_reads_on_is_waited_for_in_a_stop(run: Run) -> None:
     program = ready(run, Server(), patch=IDLE_SOON.replace("FIRST_LINE_WITHIN = 0.3", "SHORT_LINGER = 9"))
     bad = program.caller("frob")
