A dripping stand-in waits for its reader's end, not for a fixed time; two odd lines go

Seen on rereading: drip() in tests/test_list_told.py slept 0.05 s between bytes; Stopped waited on a condition that was always true beside the one that counts, and a crowd's sockets had a limit that nothing read. Change: the stand-in waits for its connection's end, 0.05 s at most a byte, by the look that Line.ended already takes. What the tests check is unchanged.

--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -234,12 +234,12 @@
         except ConnectionResetError:
             return "reset"
 
-    def ended(self) -> bool:
-        """Whether the other side has ended it, read or not."""
+    def ended(self, within: float = 0.0) -> bool:
+        """Whether the other side has ended it, read or not, or does so in that many seconds."""
         looks = select.poll()
         looks.register(self.conn, select.POLLIN)
         with suppress(OSError):
-            return bool(looks.poll(0)) and not self.conn.recv(1, socket.MSG_PEEK)
+            return bool(looks.poll(within * 1000)) and not self.conn.recv(1, socket.MSG_PEEK)
         return True
 
     def end(self, reset: bool = False) -> None:
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -25,7 +25,7 @@
 
     def __enter__(self) -> None:
         self.program.process.send_signal(signal.SIGSTOP)
-        while f"{self.program.process.pid} " and self.state() != "T":
+        while self.state() != "T":
             pass
 
     def state(self) -> str:
@@ -154,10 +154,7 @@
     least = "import resource\nresource.setrlimit(resource.RLIMIT_NOFILE, (64, 64))"
     program = run(fleet(one, other), limits={"sockets": 64}, patch=least)
     program.discovery.asked.get(timeout=15)  # and no answer: it is down
-    crowd = []
-    for _ in range(150):
-        crowd.append(program.caller())
-        crowd[-1].conn.settimeout(3.0)
+    crowd = [program.caller() for _ in range(150)]
     for _ in range(3):
         program.discovery.asked.get(timeout=15)
     crowd += [program.caller() for _ in range(150)]
--- a/tests/test_list_told.py
+++ b/tests/test_list_told.py
@@ -24,9 +24,8 @@
 
     def go_on() -> None:
         with suppress(OSError):
-            while True:
+            while not line.ended(within=0.05):
                 line.conn.sendall(b"1\r\n" + byte + b"\r\n")
-                time.sleep(0.05)
 
     threading.Thread(target=go_on, daemon=True).start()
 
