--- a/deploy/sites/lay_out.py
+++ b/deploy/sites/lay_out.py
@@ -1,7 +1,9 @@
 """Lays out deployments that the operators' program is also played on: `python deploy/sites/lay_out.py KIT`.
 
-Each file beside this one says from which site of the kit it comes and what it changes; what is written, under
-`laid/`, is the kit's and not committed.
+Each file beside this one names the site of the kit that it comes from (`from`) and what it changes
+(`[changes]`). A key may be a path with dots, where a number is a place in a list; a list that is written out
+replaces the whole list. `arguments` are for the bench's command line: limits of a process, which are no part
+of a site. What is written, under `laid/`, is the kit's and not committed.
 """
 
 from __future__ import annotations
@@ -14,34 +16,50 @@
 import tomlkit
 
 BESIDE = ("real.json", "wire.json", "unlock.txt")  # what the program looks for beside a site
+TABLES_WITH_LISTS = ("fam",)  # tables whose lists are changed one by one, not the table as a whole
 
 
 def change(site: Any, key: str, value: Any) -> None:
+    """Set the value at a path with dots."""
     *way, last = key.split(".")
     for part in way:
         site = site[int(part) if part.isdigit() else part]
     site[last] = value
 
 
-def lay_out(variant: Path, kit: Path, laid: Path) -> Path:
-    told = tomlkit.parse(variant.read_text())
-    base = kit / str(told["from"])
+def changes(variant: Any) -> dict[str, Any]:
+    """Path and new value of each change of a variant."""
+    found: dict[str, Any] = {}
+    for key, value in variant["changes"].unwrap().items():
+        if key in TABLES_WITH_LISTS:
+            found.update({f"{key}.{inner}": new for inner, new in value.items()})
+        else:
+            found[key] = value
+    return found
+
+
+def lay_out(variant: Any, name: str, kit: Path, laid: Path) -> Path:
+    """Write the site of a variant, with the files that the bench wants beside it, and return its path."""
+    base = kit / str(variant["from"])
     site = tomlkit.parse(base.read_text())
-    for key, value in told["changes"].items():
+    for key, value in changes(variant).items():
         change(site, key, value)
-    folder = laid / variant.stem
+    folder = laid / name
     folder.mkdir(parents=True, exist_ok=True)
-    for name in BESIDE:
-        shutil.copyfile(base.parent / name, folder / name)
-    written = folder / variant.name
+    for beside in BESIDE:
+        shutil.copyfile(base.parent / beside, folder / beside)
+    written = folder / f"{name}.toml"
     written.write_text(tomlkit.dumps(site))
     return written
 
 
 def main(kit: Path) -> None:
+    """Lay out each variant beside this file and print its site with the bench's arguments."""
     here = Path(__file__).parent
-    for variant in sorted(here.glob("*.toml")):
-        print(lay_out(variant, kit, here / "laid"))
+    for path in sorted(here.glob("*.toml")):
+        variant = tomlkit.parse(path.read_text())
+        written = lay_out(variant, path.stem, kit, here / "laid")
+        print(written, *variant.get("arguments", []))
 
 
 if __name__ == "__main__":
