Fleet logs added up by second, age of process, reason and type; one request followed

Need: to tell what was asked, established, rejected with and without an attempt, moved and lost over 200 processes, and by which of them (just restarted or not), from the logs alone.

benchmarks/fleet_logs.py reads all logs into typed records, with the starts and stops of each process and the times in which its gate is narrow; benchmarks/fleet.py counts and prints. A request counts in the second in which it came in, its end in the second of the end. What the logs do not have is printed under each table: service type, tenant and key, the time and result of each attempt, why a request was rejected, sessions that stand at the end.

--- a/benchmarks/fleet.py
+++ b/benchmarks/fleet.py
@@ -1,58 +1,277 @@
-"""Tables over a whole fleet from its proxies' logs: what each did alone, added up.
+"""Tables over a whole fleet from its processes' logs: what each did alone, added up.
 
-    python -m benchmarks.fleet LOGS [--by server]
+    python -m benchmarks.fleet LOGS [--by second|age|type|server|process|reason]
+        [--split age|type] [--young 3]
+    python -m benchmarks.fleet LOGS --request ID
 
-LOGS is a folder with one log a proxy. Its lines are those of `docs/oncall.md`, with any words before them.
+LOGS is a folder with one log a process; `benchmarks/fleet_logs.py` says what is read. `--split` prints one
+table for each age of process, or for each service type. `--young` is how many seconds a process counts as
+just restarted. `--request` prints all lines of one request in order of time, each with its process; where
+the logs are a trial's with trace lines, also those of the same client's other requests, as a client that
+comes again has a new id.
+
+Columns by the time at which a request came in: asked, established, rejected without any attempt (no-try) or
+after some (tried), aborted, gave-up (the client, before an answer), attempts and how many of them failed.
+Columns by the time of an end: ended, served, moved, client-end, lost. gates, processes: at the end of the
+second, how many processes have a narrow gate, and how many run.
 """
 
 from __future__ import annotations
 
 import argparse
-import re
+import sys
 from collections import Counter
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
+from dataclasses import dataclass
 from pathlib import Path
 
-END = re.compile(r"(\d{9,}\.\d+) end (\S+) (\S+) server=(\S+) connects=(\d+) age=(\S+)")
-NOTE = re.compile(r"(\d{9,}\.\d+) ((?:\S+ )?(?:set aside|trusted again|drops|gate|fleet|list|fault|stop).*)")
-SERVER = re.compile(r"^\S+ (?=set aside|trusted|drops)")
+from benchmarks.fleet_logs import Ended, FleetLog, Outcome, Run, read_fleet
+
+WIDEST, NARROWEST = 24, 6  # characters of a column
+MOST_COLUMNS = 14  # of a table whose columns are not given
+YOUNG = 3.0  # seconds for which a process counts as just restarted
+FIRST_START, RESTARTED = "not restarted", "restarted"
+UNKNOWN = "unknown"
+CAME = ("asked", "established", "no-try", "tried", "aborted", "gave-up", "attempts", "failed")
+ENDED = ("ended", "served", "moved", "client-end", "lost")
+STATE = ("gates", "processes")
+NOT_LOGGED = (
+    "sessions that stood at the end of the logs, or in a process that was killed, have no line",
+    "when a session was established is not told: it counts in the second in which its request came in",
+)
+NOT_LOGGED_UNTRACED = (
+    "service type, tenant and key of a request",
+    "time, server and result of each attempt: all but an established request's last are taken as failed,"
+    " in the second in which the request came in",
+    "why a request was rejected: the reason is what its process said of itself at that moment",
+)
+
+
+@dataclass(frozen=True)
+class Happening:
+    """Something that a table counts: in which column, when, and of which request."""
+
+    column: str
+    at: float
+    end: Ended
+    count: int = 1
+
+
+@dataclass(frozen=True)
+class Grouping:
+    """By what the rows of a table are told apart, or tables from one another."""
+
+    log: FleetLog
+    young: float
+
+    def age(self, happening: Happening) -> str:
+        """Whether its process has just been restarted."""
+        run = happening.end.run
+        if run.number == 0:
+            return FIRST_START
+        fresh = happening.at - run.began < self.young
+        return f"{RESTARTED} < {self.young:g} s" if fresh else f"{RESTARTED}, older"
+
+    def service_type(self, happening: Happening) -> str:
+        return type_of(self.log, happening.end.request_id)
+
+    def second(self, happening: Happening) -> str:
+        return second_of(self.log, happening.at)
+
+    def server(self, happening: Happening) -> str:
+        return happening.end.server
+
+    def process(self, happening: Happening) -> str:
+        return happening.end.run.process
+
+    def reason(self, happening: Happening) -> str:
+        return reason_of(happening.end)
+
+
+def second_of(log: FleetLog, at: float) -> str:
+    """The second of the day, as rows are named."""
+    return f"{int(at - log.zero):3d}"
+
+
+def type_of(log: FleetLog, request_id: str) -> str:
+    """The service type of a request, where a trace tells it."""
+    request = log.requests.get(request_id)
+    return request.service_type if request else UNKNOWN
+
+
+def reason_of(end: Ended) -> str:
+    """Why a request ended as it did, as far as its process's log tells."""
+    if end.outcome is not Outcome.REJECTED:
+        return end.code
+    run, tries = end.run, "tried" if end.attempts else "no try"
+    if run.gate_narrow(end.at):
+        state = "gate narrow"
+    elif run.stop_told is not None and end.at >= run.stop_told:
+        state = "stopping"
+    elif run.gate_narrow(end.came):
+        state = "gate narrow as it came"
+    else:
+        state = "gate open"
+    return f"rejected, {tries}, {state}"
+
+
+def column_of_arrival(end: Ended) -> str | None:
+    """Where a request counts by the second in which it came in, beside `asked`."""
+    if end.established:
+        return "established"
+    if end.outcome is Outcome.REJECTED:
+        return "tried" if end.attempts else "no-try"
+    return end.outcome.value if end.outcome.value in CAME else None
 
 
-def events(folder: Path) -> Iterator[tuple[float, str, str]]:
-    """Time, what happened, and at which server (- for none), of each line that tells something."""
-    for log in filter(Path.is_file, sorted(folder.iterdir())):
-        for line in log.read_text(errors="replace").splitlines():
-            if found := END.search(line):
-                yield float(found[1]), f"end {found[2]}", found[4]
-            elif found := NOTE.search(line):
-                server = SERVER.match(found[2])
-                yield float(found[1]), SERVER.sub("", found[2]), server[0].strip() if server else "-"
+def happenings(log: FleetLog) -> Iterator[Happening]:
+    """All that a table counts of requests. Connections that never brought a request are left out."""
+    for end in log.ends:
+        if end.outcome is Outcome.BAD_CLIENT:
+            continue
+        yield Happening("asked", end.came, end)
+        if column := column_of_arrival(end):
+            yield Happening(column, end.came, end)
+        yield Happening("attempts", end.came, end, end.attempts)
+        yield Happening("failed", end.came, end, end.attempts - end.established)
+        yield Happening("ended", end.at, end)
+        if end.outcome.value in ENDED:
+            yield Happening(end.outcome.value, end.at, end)
 
 
-def table(rows: dict[str, Counter[str]], what: str) -> str:
-    totals: Counter[str] = sum(rows.values(), Counter())
-    columns = [name for name, _ in totals.most_common(14)]
-    lines = [f"{what:>14} " + " ".join(f"{name[:13]:>13}" for name in columns)]
-    for name, row in [*rows.items(), ("all", totals)]:
-        lines.append(f"{name:>14} " + " ".join(f"{row[each] or '':>13}" for each in columns))
+Rows = dict[str, Counter[str]]
+
+
+def count(found: Iterator[Happening], key: Callable[[Happening], str]) -> Rows:
+    """Rows by key, in the order of their names."""
+    rows: Rows = {}
+    for happening in found:
+        rows.setdefault(key(happening), Counter())[happening.column] += happening.count
+    return dict(sorted(rows.items()))
+
+
+def add_state(log: FleetLog, rows: Rows) -> None:
+    """How many processes run, and how many with a narrow gate, at the end of each second of a table."""
+    for second, row in rows.items():
+        at = log.zero + int(second) + 1
+        alive = [run for run in log.runs if run.alive(at)]
+        row["processes"] = len(alive)
+        row["gates"] = sum(run.gate_narrow(at) for run in alive)
+
+
+def attempts_by_result(log: FleetLog, by_second: bool) -> Rows:
+    """Traced attempts by the second in which they began, or by whose service type, and by result."""
+    rows: Rows = {}
+    for attempt in log.attempts:
+        key = second_of(log, attempt.at - attempt.delay) if by_second else type_of(log, attempt.request_id)
+        rows.setdefault(key, Counter())[attempt.result] += 1
+    return dict(sorted(rows.items()))
+
+
+def notes_by_second(log: FleetLog) -> Rows:
+    """What processes said otherwise, shortened to its first words, by second."""
+    rows: Rows = {}
+    for note in log.notes:
+        words = note.text.partition(":")[0] if note.server == "-" else note.text
+        rows.setdefault(second_of(log, note.at), Counter())[words] += 1
+    return dict(sorted(rows.items()))
+
+
+def table(rows: Rows, name: str, columns: tuple[str, ...] = (), without_total: tuple[str, ...] = ()) -> str:
+    """Rows and their total; with no columns given, those with the largest totals."""
+    total: Counter[str] = sum(rows.values(), Counter())
+    columns = columns or tuple(column for column, _ in total.most_common(MOST_COLUMNS))
+    for column in without_total:
+        total[column] = 0
+    width = max(len(label) for label in (name, "all", *rows))
+    widths = {column: max(len(column[:WIDEST]), NARROWEST) for column in columns}
+    lines = [f"{name:>{width}} " + " ".join(f"{column[:WIDEST]:>{widths[column]}}" for column in columns)]
+    for key, row in [*rows.items(), ("all", total)]:
+        cells = (f"{row[column] or '':>{widths[column]}}" for column in columns)
+        lines.append(f"{key:>{width}} " + " ".join(cells))
     return "\n".join(lines)
 
 
-def main() -> None:
+def follow(log: FleetLog, request_id: str) -> list[str]:
+    """All lines of a request and, where keys are traced, of the same client's others, in order of time."""
+    wanted = {request_id}
+    if request := log.requests.get(request_id):
+        wanted |= {each.request_id for each in log.requests.values() if each.key == request.key}
+    return [
+        f"{line.at - log.zero:8.3f} {line.process:>6} {line.text}"
+        for line in log.lines
+        if wanted.intersection(line.text.split())
+    ]
+
+
+def ages(runs: list[Run]) -> str:
+    """How many processes started, and were started anew."""
+    return f"{sum(run.number == 0 for run in runs)} processes, {sum(run.number > 0 for run in runs)} restarts"
+
+
+def foot(log: FleetLog) -> list[str]:
+    """What the logs do not have."""
+    lines = [ages(log.runs)]
+    if log.dropped or log.unread:
+        lines.append(f"{log.dropped} lines dropped by processes, {log.unread} of no known form")
+    missing = NOT_LOGGED if log.traced else NOT_LOGGED + NOT_LOGGED_UNTRACED
+    return lines + [f"not in these logs: {what}" for what in missing]
+
+
+def tables(log: FleetLog, grouping: Grouping, by: str, split: str | None) -> Iterator[str]:
+    """The tables that were asked for."""
+    keys: dict[str, Callable[[Happening], str]] = {
+        "second": grouping.second,
+        "age": grouping.age,
+        "type": grouping.service_type,
+        "server": grouping.server,
+        "process": grouping.process,
+        "reason": grouping.reason,
+    }
+    found = list(happenings(log))
+    parts = sorted({keys[split](each) for each in found}) if split else [""]
+    for part in parts:
+        rows = count((each for each in found if not split or keys[split](each) == part), keys[by])
+        state = STATE if by == "second" and not split else ()
+        if state:
+            add_state(log, rows)
+        yield (f"{part}\n" if part else "") + table(rows, by, CAME + ENDED + state, STATE)
+    if log.attempts and by in ("second", "type"):
+        yield "attempts by result\n" + table(attempts_by_result(log, by == "second"), by)
+    if by == "second" and log.notes:
+        yield "other lines\n" + table(notes_by_second(log), by)
+
+
+def read_arguments() -> argparse.Namespace:
+    """The command line; exit code 2 where the folder is none."""
     form = argparse.RawDescriptionHelpFormatter
     parser = argparse.ArgumentParser(description=__doc__, formatter_class=form)
     parser.add_argument("logs", type=Path)
-    parser.add_argument("--by", choices=("second", "server"), default="second")
+    rows = ("second", "age", "type", "server", "process", "reason")
+    parser.add_argument("--by", choices=rows, default="second")
+    parser.add_argument("--split", choices=("age", "type"))
+    parser.add_argument("--young", type=float, default=YOUNG)
+    parser.add_argument("--request")
     asked = parser.parse_args()
     if not asked.logs.is_dir():
         parser.exit(2, f"{asked.logs}: no folder of logs\n")
-    told = sorted(events(asked.logs))
-    if not told:
-        parser.exit(2, f"{asked.logs}: no line of a proxy in it\n")
-    first, rows = told[0][0], dict[str, Counter[str]]()
-    for at, what, server in told:
-        rows.setdefault(f"{int(at - first):3d}" if asked.by == "second" else server, Counter())[what] += 1
-    print(table(rows, asked.by))
+    return asked
+
+
+def main() -> None:
+    """Print what was asked for; exit code 2 if there is nothing to print."""
+    asked = read_arguments()
+    log = read_fleet(asked.logs)
+    if not log.lines:
+        print(f"{asked.logs}: no line of a process in it", file=sys.stderr)
+        raise SystemExit(2)
+    if asked.request:
+        lines = follow(log, asked.request)
+        print("\n".join(lines) or f"{asked.request}: in no line")
+        return
+    for each in tables(log, Grouping(log, asked.young), asked.by, asked.split):
+        print(each, end="\n\n")
+    print("\n".join(foot(log)))
 
 
 if __name__ == "__main__":
