Servers go by tags of two to four bytes between processes; counts have no cap

Two bytes of a hash collide more likely than not at 400 servers: counts, message times and turns of one server were then believed of another. Counts ended at 255, also the sums of all processes, and more of a process's own raised struct.error; past 1,024 entries a turn's report lost the rest.

A message now says how long its tags are: as short as tells the sender's servers apart with room to spare (two bytes up to 64 servers, three up to 1,024, four beyond); turns at cold servers, by which a rule could break, always have four. Servers of one list that share a tag are left out of what is told and believed, and the log says so where not even four bytes tell them apart. Counts and times are variable-length integers (up to 2**21 - 1), sections fill each message, and a long report is sent in parts. One class names servers for both hosts, in place of a map in each. The first byte is 3 to 5; messages of the form before (1) are ignored, and so are these there.

test_peers.py goes by servers in place of tags: as strict, with counts up to the largest, turns, and the form of before, of which nothing may be believed.

--- a/brambleplank/decide.py
+++ b/brambleplank/decide.py
@@ -28,7 +28,7 @@
 MOST, HALF_OPEN = 1 / 2, 1 / 4  # shares of failed connects: the gate narrows; where it then starts anew
 RELIEF, DEGREE = 1 / 3, 1 / 4  # of its own on a slow server, moved a telling; over its share, a degree worse
 ASKED, LEAST_TOLD, KEPT = 2, 1 / 8, 3  # the word for a turn; least change of a sum told; tellings it holds
-WHOLE_EVERY, MOST_TOLD, MOST_HOMES = 12, 255, 4096  # tellings to a whole one; counts told; told homes kept
+WHOLE_EVERY, MOST_TOLD, MOST_HOMES = 12, 2**21 - 1, 4096  # tellings to a whole one; counts told; homes kept
 ROOM_KEPT, LAST_PART = 1 / 8, 2 / 5  # of the descriptors, for answers and the list; of a stop, for moves
 
 
--- a/brambleplank/net/fleet.py
+++ b/brambleplank/net/fleet.py
@@ -27,7 +27,7 @@
 from brambleplank.net.loop import reactor
 from brambleplank.records import Server
 from brambleplank.seams import Client
-from brambleplank.talk import tag_of
+from brambleplank.server_tags import WIDEST, ServerTags
 
 TURN = 0.1  # seconds between two turns
 CARE = {Effect.REPEATABLE: 0, Effect.REFERENCED: 1, Effect.ONCE_ONLY: 2}  # what flows of each effect need
@@ -52,6 +52,8 @@
         """Raises TableError, or OSError for a file of rules that cannot be read."""
         self.move, self.notices = move, notices
         self.clock, self.log, self.told, self.terms, self.listed = clock, log, told, terms, listed
+        self.tagged: list[Server] | None = None  # the list of which the tags are
+        self.tags = ServerTags([])
         self.fleet = Fleet(
             told.number,
             told.members,
@@ -61,7 +63,7 @@
             seed,
             say,
             log.say,
-            lambda: [tag_of(server.points[0]) for server in listed()],
+            lambda: [*self.servers_by_tag()],
             told.table.check,
         )
         self.routing: Routing | None = None
@@ -84,7 +86,7 @@
             self.retiring.turn(now)
         if now >= self.passing_at:
             self.passing_at = now + PASS_OVER
-            servers = {tag_of(server.points[0]): server for server in self.listed()}
+            servers = self.servers_by_tag()
             passed = {servers[tag] for tag in self.fleet.judgements.passed_over(now, list(servers))}
             for server in passed:
                 server.pass_over(now + HOLDS)
@@ -134,6 +136,13 @@
 
     # What the proxy asks, and tells of its flows.
 
+    def servers_by_tag(self) -> dict[int, Server]:
+        """The servers that the list calls ready, as members name them to each other."""
+        listed = self.listed()
+        if listed is not self.tagged:
+            self.tagged, self.tags = listed, ServerTags(listed)
+        return self.tags.named(WIDEST)
+
     def ready(self) -> bool:
         return self.routing is None or self.routing.ready(self.clock.now())
 
@@ -171,7 +180,9 @@
         self.admission.ended(flow, rejected)
 
     def tried(self, server: Server, good: bool) -> None:
-        self.fleet.judgements.tried(self.clock.now(), tag_of(server.points[0]), good)
+        self.servers_by_tag()
+        if (tag := self.tags.tag(server, WIDEST)) is not None:
+            self.fleet.judgements.tried(self.clock.now(), tag, good)
 
 
 class Datagrams(DatagramProtocol):
--- a/brambleplank/net/peers.py
+++ b/brambleplank/net/peers.py
@@ -1,20 +1,21 @@
-"""Datagrams between the proxies; what older ones tell, message times as text, is still read."""
+"""Datagrams between the proxies; what the oldest ones tell, message times as text, is still read."""
 
 from __future__ import annotations
 
 from collections.abc import Callable
-from struct import error
 from typing import Any
 
 from twisted.internet.protocol import DatagramProtocol
 
-from brambleplank.talk import FORM, Talk
+from brambleplank.records import Server
+from brambleplank.server_tags import ServerTags
+from brambleplank.talk import FORMS, Talk
 
 LONGEST = 256
 
 
 class Peers(Talk, DatagramProtocol):
-    """`time_told` is given a server's tag or id; who tells is given by its number, as this proxy's own is."""
+    """Who tells is given by its number, as this proxy's own is."""
 
     noisy = False
     transport: Any
@@ -22,14 +23,15 @@
     def __init__(
         self,
         soon: Callable[[Callable[[], None]], object],
-        time_told: Callable[[int | str, float, float], None],
-        held_told: Callable[[int, dict[int, int], bool, bool], None],
-        home_told: Callable[[int, int], None],
-        turn_told: Callable[[int, int, int], None],
+        tags: Callable[[], ServerTags],
+        time_told: Callable[[Server, float, float], None],
+        held_told: Callable[[int, dict[Server, int], bool, bool], None],
+        home_told: Callable[[int, Server], None],
+        turn_told: Callable[[int, Server, int], None],
         all_others: tuple[str, int],
         known: dict[tuple[str, int], int],
     ) -> None:
-        super().__init__(self.write, LONGEST, soon, time_told, held_told, home_told, turn_told)
+        super().__init__(self.write, LONGEST, soon, tags, time_told, held_told, home_told, turn_told)
         self.further: dict[int, Callable[[bytes, int], None]] = {}  # who reads other forms, by first byte
         self.reach(all_others, known)
 
@@ -49,15 +51,16 @@
         try:
             if datagram[0] in self.further:
                 self.further[datagram[0]](datagram, self.numbers[addr])
-            elif datagram[0] == FORM:
-                self.read(datagram[1:], self.numbers[addr])
+            elif datagram[0] in FORMS:
+                self.read(datagram, self.numbers[addr])
             else:
                 self.read_text(datagram)
-        except (error, ValueError, IndexError):
+        except (ValueError, IndexError):
             return
 
     def read_text(self, datagram: bytes) -> None:
         server_id, *words = datagram.decode().split(" ")
         takes, usually = float(words[0]), float(words[1]) if len(words) > 1 else 0.0
-        if 0 <= takes < 3600 and 0 <= usually < 3600:
-            self.time_told(server_id, takes, usually)
+        server = self.tags().by_id.get(server_id)
+        if server and 0 <= takes < 3600 and 0 <= usually < 3600:
+            self.time_told(server, takes, usually)
--- a/brambleplank/net/proxy.py
+++ b/brambleplank/net/proxy.py
@@ -17,7 +17,7 @@
 from brambleplank.records import Flow, Server
 from brambleplank.rotation import Rotation
 from brambleplank.seams import Client, Connect, Probe, Shares, Source
-from brambleplank.talk import tag_of
+from brambleplank.server_tags import ServerTags
 
 LOOK = 0.1  # seconds between two looks
 PROBES_FROM = 1 / 4  # share of the descriptors that is left to others
@@ -60,7 +60,7 @@
         self.peers: Peers | None = None
         self.shares: Shares | None = None  # with the other processes of its fleet, where it does
         self.going_on: Client | None = None  # whose next connect is looked for
-        self.by_tag: dict[int, Server] = {}  # as other proxies name them
+        self.tags: ServerTags | None = None  # how other proxies name the servers; made when first needed
         self.rotation = Rotation()
         self.serving = self.stopping = self.draining = False
         self.succeeded = False  # another process of this proxy takes the clients in, and speaks for it
@@ -266,23 +266,26 @@
 
     # What other proxies say.
 
-    def time_told(self, named: int | str, seconds: float, usual: float) -> None:
-        server = self.by_tag.get(named) if isinstance(named, int) else self.balancer.servers.get(named)
-        if server:
-            reach_of(server).usual_told = usual or reach_of(server).usual_told
-            self.balancer.message_time_told(self.clock.now(), server, seconds)
+    def server_tags(self) -> ServerTags:
+        if self.tags is None:
+            self.tags = ServerTags(self.balancer.servers.values())
+            if nameless := self.tags.nameless():
+                names = " and ".join(server.id for server in nameless)
+                self.log_lines.say(f"peers: nothing is said or heard of {names}: their tags are the same")
+        return self.tags
 
-    def held_told(self, peer: int, held: dict[int, int], whole: bool, summed: bool) -> None:
-        known = [(self.by_tag[tag], count) for tag, count in held.items() if tag in self.by_tag]
-        self.balancer.held_told(self.clock.now(), peer, known, whole, summed)
+    def time_told(self, server: Server, seconds: float, usual: float) -> None:
+        reach_of(server).usual_told = usual or reach_of(server).usual_told
+        self.balancer.message_time_told(self.clock.now(), server, seconds)
 
-    def turn_told(self, peer: int, tag: int, word: int) -> None:
-        if tag in self.by_tag:
-            self.balancer.turn_told(self.clock.now(), peer, self.by_tag[tag], word)
+    def held_told(self, peer: int, held: dict[Server, int], whole: bool, summed: bool) -> None:
+        self.balancer.held_told(self.clock.now(), peer, held.items(), whole, summed)
 
-    def home_told(self, spot: int, tag: int) -> None:
-        if tag in self.by_tag:
-            self.balancer.home_told(self.clock.now(), spot, self.by_tag[tag])
+    def turn_told(self, peer: int, server: Server, word: int) -> None:
+        self.balancer.turn_told(self.clock.now(), peer, server, word)
+
+    def home_told(self, spot: int, server: Server) -> None:
+        self.balancer.home_told(self.clock.now(), spot, server)
 
     # What the source says.
 
@@ -296,7 +299,7 @@
 
     def tell(self, entries: list[Entry], whole: bool) -> None:
         self.balancer.list_told(self.clock.now(), entries, whole)
-        self.by_tag = {tag_of(s.points[0]): s for s in self.balancer.servers.values()}
+        self.tags = None
         self.probes.keep_to_ready()
 
     def list_failed(self, why: str) -> None:
@@ -401,7 +404,7 @@
 
     def tell_peers(self, server: Server, seconds: float) -> None:
         if self.peers and self.terms.peers and not self.succeeded:
-            self.peers.tell_time(tag_of(server.points[0]), seconds, self.probes.news_of_usual(server))
+            self.peers.tell_time(server, seconds, self.probes.news_of_usual(server))
 
     def tell_held(
         self, held: Iterable[tuple[Server, int]], whole: bool, to: int | None, summed: bool
@@ -411,17 +414,15 @@
             counts = {server: count + self.beside(server) for server, count in held}
             rest = self.balancer.ready if whole else ()
             counts.update({s: self.beside(s) for s in rest if s not in counts and self.beside(s)})
-            self.peers.tell_held(
-                {tag_of(server.points[0]): n for server, n in counts.items()}, whole, to, summed
-            )
+            self.peers.tell_held(counts, whole, to, summed)
 
     def tell_turn(self, server: Server, to: int, word: int) -> None:
         if self.peers and self.terms.peers and not self.succeeded:
-            self.peers.tell_turn(tag_of(server.points[0]), to, word)
+            self.peers.tell_turn(server, to, word)
 
     def tell_homes(self, homes: Iterable[tuple[int, Server]]) -> None:
         if self.peers and self.terms.peers and not self.succeeded:
-            self.peers.tell_homes({spot: tag_of(server.points[0]) for spot, server in homes})
+            self.peers.tell_homes(dict(homes))
 
     def room(self) -> float:
         # Danger: further connects beyond what the fleet allows make a bad hour worse: told as no room.
--- a/brambleplank/platform/run.py
+++ b/brambleplank/platform/run.py
@@ -79,6 +79,7 @@
         elif told.peer_listen:
             proxy.peers = Peers(
                 lambda call: proxy.clock.later(0, call),
+                proxy.server_tags,
                 proxy.time_told,
                 proxy.held_told,
                 proxy.home_told,
--- a/brambleplank/wirehost/door.py
+++ b/brambleplank/wirehost/door.py
@@ -4,13 +4,13 @@
 
 from base64 import b85decode, b85encode
 from collections.abc import Callable, Iterable
-from struct import error
 from typing import Any
 
 from brambleplank.decide import Balancer
 from brambleplank.host import Condition, End
 from brambleplank.records import Flow, Server
-from brambleplank.talk import FORM, Talk, tag_of
+from brambleplank.server_tags import ServerTags
+from brambleplank.talk import FORMS, Talk
 from brambleplank.terms import MICRO, known, terms_of
 
 ENDS = {
@@ -41,10 +41,10 @@
         self.next_alarm = 0
         self.at_the_end: list[Callable[[], None]] = []  # of the event at hand
         self.now = 0.0
-        self.by_tag: dict[int, Server] = {}  # as other instances name them; made where one does
+        self.tags: ServerTags | None = None  # how other instances name the servers; made when first needed
         self.balancer = Balancer(self, terms_of(info), seed)
         hear = self.time_told, self.held_told, self.home_told, self.turn_told
-        self.talks = Talk(self.say, LONGEST, self.at_the_end.append, *hear)
+        self.talks = Talk(self.say, LONGEST, self.at_the_end.append, self.server_tags, *hear)
 
     # Events, each taking the wire's fields in the wire's order.
 
@@ -114,7 +114,7 @@
         if how == "FAILED":
             self.balancer.list_failed(now)
             return
-        self.by_tag = {}
+        self.tags = None
         self.balancer.list_told(
             now,
             [
@@ -135,31 +135,27 @@
         """Another instance tells; what has no known form is passed over, as it may come of another build."""
         try:
             message = b85decode(octets)
-            if message[:1] == bytes([FORM]):
+            if message and message[0] in FORMS:
                 self.now = now
-                self.talks.read(message[1:], teller)
-        except (ValueError, error):
+                self.talks.read(message, teller)
+        except ValueError:
             return
 
-    def named(self, tag: int) -> Server | None:
-        self.by_tag = self.by_tag or {tag_of(s.points[0]): s for s in self.balancer.servers.values()}
-        return self.by_tag.get(tag)
+    def server_tags(self) -> ServerTags:
+        self.tags = self.tags or ServerTags(self.balancer.servers.values())
+        return self.tags
 
-    def time_told(self, tag: int, seconds: float, usual: float) -> None:
-        if server := self.named(tag):
-            self.balancer.message_time_told(self.now, server, seconds)
+    def time_told(self, server: Server, seconds: float, usual: float) -> None:
+        self.balancer.message_time_told(self.now, server, seconds)
 
-    def held_told(self, teller: int, held: dict[int, int], whole: bool, summed: bool) -> None:
-        known = [(server, count) for tag, count in held.items() if (server := self.named(tag))]
-        self.balancer.held_told(self.now, teller, known, whole, summed)
+    def held_told(self, teller: int, held: dict[Server, int], whole: bool, summed: bool) -> None:
+        self.balancer.held_told(self.now, teller, held.items(), whole, summed)
 
-    def home_told(self, spot: int, tag: int) -> None:
-        if server := self.named(tag):
-            self.balancer.home_told(self.now, spot, server)
+    def home_told(self, spot: int, server: Server) -> None:
+        self.balancer.home_told(self.now, spot, server)
 
-    def turn_told(self, teller: int, tag: int, word: int) -> None:
-        if server := self.named(tag):
-            self.balancer.turn_told(self.now, teller, server, word)
+    def turn_told(self, teller: int, server: Server, word: int) -> None:
+        self.balancer.turn_told(self.now, teller, server, word)
 
     def say(self, message: bytes, to: int | None) -> None:
         whom = "*" if to is None else to
@@ -202,13 +198,13 @@
     def tell_held(
         self, held: Iterable[tuple[Server, int]], whole: bool, to: int | None, summed: bool
     ) -> None:
-        self.talks.tell_held({tag_of(s.points[0]): count for s, count in held}, whole, to, summed)
+        self.talks.tell_held(dict(held), whole, to, summed)
 
     def tell_turn(self, server: Server, to: int, word: int) -> None:
-        self.talks.tell_turn(tag_of(server.points[0]), to, word)
+        self.talks.tell_turn(server, to, word)
 
     def tell_homes(self, homes: Iterable[tuple[int, Server]]) -> None:
-        self.talks.tell_homes({spot: tag_of(server.points[0]) for spot, server in homes})
+        self.talks.tell_homes(dict(homes))
 
     def room(self) -> float:
         return 1.0
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -7,42 +7,65 @@
 from hypothesis import strategies as st
 
 from brambleplank.net.peers import LONGEST, Peers
-from brambleplank.talk import MOST
+from brambleplank.records import Server
+from brambleplank.server_tags import ServerTags
+from brambleplank.talk import MOST, written
 
-HERE, TAGS = ("10.0.0.1", 7946), st.integers(0, MOST)
+HERE = ("10.0.0.1", 7946)
+SERVERS = [Server(f"s{number}", 0.0) for number in range(300)]
+TAGS = ServerTags(SERVERS)
 
 
 def ears() -> tuple[Peers, dict[str, list[Any]], list[bytes]]:
     """A proxy, what it is told by kinds, and the datagrams it sends."""
     said: dict[str, list[Any]] = {"time": [], "held": [], "home": [], "turn": []}
     time, held, home, turn = ((lambda *what, kind=kind: said[kind].append(what)) for kind in said)
-    peers, sent = Peers(lambda send: None, time, held, home, turn, HERE, {HERE: 0}), list[bytes]()
+    peers = Peers(lambda send: None, lambda: TAGS, time, held, home, turn, HERE, {HERE: 0})
+    sent = list[bytes]()
     peers.transport = SimpleNamespace(write=lambda datagram, where: sent.append(datagram))
     return peers, said, sent
 
 
-@given(st.dictionaries(TAGS, st.integers(0, 255), max_size=300), st.booleans(), TAGS, st.floats(0, 0.6))
-def test_all_comes_in_as_it_went_out(held: dict[int, int], whole: bool, tag: int, seconds: float) -> None:
+@given(
+    st.dictionaries(st.sampled_from(SERVERS), st.integers(0, MOST), max_size=300),
+    st.booleans(),
+    st.sampled_from(SERVERS),
+    st.floats(0, 0.6),
+)
+def test_all_comes_in_as_it_went_out(
+    held: dict[Server, int], whole: bool, server: Server, seconds: float
+) -> None:
     peers, said, sent = ears()
     peers.tell_held(held, whole, None, False)
-    peers.tell_time(tag, seconds, seconds)
-    peers.tell_homes({tag << 100: tag})
+    peers.tell_time(server, seconds, seconds)
+    peers.tell_homes({server.points[0]: server})
+    peers.tell_turn(server, 0, 2)
     peers.send()
     for datagram in sent:
         peers.datagramReceived(datagram, HERE)
     assert held == {server: count for _, part, *_ in said["held"] for server, count in part.items()}
-    assert [first for *_, first, _ in said["held"]] == [whole, *[False] * 10][: len(said["held"])]
-    assert said["time"] == [(tag, round(seconds * 1000) / 1000, round(seconds * 100_000) / 100_000)]
-    assert said["home"][0][1] == tag
-    assert max(map(len, sent)) <= LONGEST and len(sent) <= 1 + len(held) // 60
+    assert [first for *_, first, _ in said["held"]] == [whole, *[False] * 300][: len(said["held"])]
+    assert said["time"] == [(server, round(seconds * 1000) / 1000, round(seconds * 100_000) / 100_000)]
+    assert said["home"] == [(server.points[0] >> 96 << 96, server)] and said["turn"] == [(0, server, 2)]
+    size = sum(3 + len(written(count)) for count in held.values())
+    assert max(map(len, sent)) <= LONGEST and len(sent) <= 2 + size // (LONGEST - 16)
 
 
 @given(st.binary(max_size=300))
 def test_what_a_stranger_says_or_what_has_no_known_form_does_no_harm(datagram: bytes) -> None:
     peers, said, _ = ears()
     peers.datagramReceived(b"s1 0.2", ("10.9.9.9", 7946))
-    for torn in (datagram, b"\x01" + datagram, b"s0", b"s0 nan", b"s0 -1", b"\x01\x22\x00"):
+    for torn in (datagram, b"\x04" + datagram, b"s0", b"s0 nan", b"s0 -1", b"\x04\x22\x00", b"\x04\x42\x00"):
         peers.datagramReceived(torn, HERE)
-    assert all(told[0] != "s1" and 0 <= told[1] < 3600 and 0 <= told[2] < 3600 for told in said["time"])
+    assert not [told for told in said["time"] if told[0] is SERVERS[1] and told[1] == 0.2]
+    assert all(0 <= told[1] < 3600 and 0 <= told[2] < 3600 for told in said["time"])
     peers.datagramReceived(b"s0 0.200 0.00400", HERE)  # a proxy of before is still heard
-    assert said["time"][-1] == ("s0", 0.2, 0.004)
+    assert said["time"][-1] == (SERVERS[0], 0.2, 0.004)
+
+
+def test_the_form_of_before_and_its_bytes_in_any_order_are_not_believed() -> None:
+    peers, said, _ = ears()
+    for kind in range(8):
+        tags = b"".join((server.points[0] & 0xFFFF).to_bytes(2, "big") + b"\x07" for server in SERVERS[:31])
+        peers.datagramReceived(bytes([1, kind * 32 + 31]) + tags, HERE)
+    assert said == {"time": [], "held": [], "home": [], "turn": []}
