--- a/brambleplank/fleet/fleet.py
+++ b/brambleplank/fleet/fleet.py
@@ -199,10 +199,7 @@
         elif lender is not None:
             if counts := self.counts.to_tell():
                 self.send(words.Counts(self.incarnation, counts), lender)
-            if good or bad:
-                room = words.MOST_TAGS
-                told_bad = bad[:room]
-                told_good = self.rng.sample(good, min(len(good), room - len(told_bad)))
+            for told_good, told_bad in self.judgements.to_report(now, words.MOST_TAGS):
                 self.send(
                     words.Tried(self.incarnation, told_good, told_bad, len(good) + len(bad), len(bad)), lender
                 )
@@ -211,7 +208,9 @@
                 self.send(words.Sums(self.incarnation, sums))
             if judged := self.judgements.judged(now, len(self.servers())):
                 self.judgements.heard(now, judged)
-                self.send(words.Verdicts(self.incarnation, judged))
+                for start in range(0, len(judged), words.MOST_TAGS):
+                    part = judged[start : start + words.MOST_TAGS]
+                    self.send(words.Verdicts(self.incarnation, part))
 
     def look(self, now: float) -> None:
         """Says when the dark begins and ends; in office, who is no longer heard."""
--- a/brambleplank/fleet/words.py
+++ b/brambleplank/fleet/words.py
@@ -16,7 +16,7 @@
 FORM = 2  # the first byte
 LONGEST = 256  # bytes of a datagram, where the platform's pages hold
 MOST_NAME = 40  # characters of a key that is counted
-MOST_TAGS = 40  # servers named in one word
+MOST_TAGS = 40  # servers named in one word; more take several
 PIECE = 200  # bytes of a text in one word
 MOST_WHY = 150  # characters of an objection
 Whole = Annotated[int, Meta(ge=0, le=2**53)]
@@ -101,11 +101,11 @@
 
 
 class Tried(Word, tag=7, frozen=True):
-    """To who is in office: servers that this process tried lately, by two bytes of their points."""
+    """To who is in office: some of the servers that this process tried lately, by the widest tags."""
 
     found_good: Annotated[list[Tag], Meta(max_length=MOST_TAGS)]
     found_bad: Annotated[list[Tag], Meta(max_length=MOST_TAGS)]
-    tried: Whole  # all of them, also those that found no room here
+    tried: Whole  # all of them, also those that other words name
     bad: Whole
 
 
--- /dev/null
+++ b/tests/test_large_fleets.py
@@ -0,0 +1,347 @@
+"""1,024 processes before 1,024 servers, through every list, message and file that names them."""
+
+from __future__ import annotations
+
+import json
+from collections import Counter
+from collections.abc import Callable
+from functools import partial
+from heapq import heappop, heappush
+from itertools import count
+from pathlib import Path
+from random import Random
+from types import SimpleNamespace
+from typing import Any
+
+import pytest
+
+from brambleplank import records
+from brambleplank.checks import address
+from brambleplank.decide import Balancer
+from brambleplank.fleet import judgements
+from brambleplank.fleet.budgets import Budget
+from brambleplank.fleet.fleet import Fleet
+from brambleplank.host import Address, Condition, Entry
+from brambleplank.net.peers import LONGEST
+from brambleplank.platform import estate, handover, start
+from brambleplank.platform.run import Program
+from brambleplank.rotation import Rotation
+from brambleplank.sidecar import reader
+from brambleplank.sidecar.rules import Machine
+from brambleplank.sources.consul import answers
+from brambleplank.sources.file import entries
+from brambleplank.sources.platform.discovery import Watch, list_of
+from brambleplank.wirehost.pipe import Pipe
+from tests.conftest import SETTINGS, told
+from tests.test_check import GOOD
+
+PROCESSES = SERVERS = 1024
+TURN = 0.1  # seconds between two turns of a member
+NAMES = [f"s-{number:04}" for number in range(SERVERS)]
+PLACES = [f"10.{1 + number // 250}.0.{number % 250}:5000" for number in range(SERVERS)]
+LIST = told(1, True, **dict(zip(NAMES, PLACES, strict=True)))
+PEERS = [f"10.200.{number // 250}.{number % 250}:7946" for number in range(PROCESSES)]
+EVERYWHERE = "10.201.0.1:7946"
+
+
+def settings(number: int) -> dict[str, Any]:
+    limits = {**SETTINGS["policy_limits"], "may_probe": True, "peers": True}
+    return {**SETTINGS, "balancers": PROCESSES, "slot_no": number, "policy_limits": limits}
+
+
+class Process:
+    """A program as the platform configures it, its list read; datagrams are carried by hand."""
+
+    def __init__(self, number: int, hosts: dict[str, Any] = LIST, **changes: Any) -> None:
+        config = {
+            "name": f"n{number}",
+            "listen": "127.0.0.1:7000",
+            "discovery": "127.0.0.1:7001",
+            "seed": "1f",
+            "known": hosts,
+            "peer_listen": PEERS[number],
+            "peers": PEERS,
+            "peers_all": EVERYWHERE,
+            "settings": settings(number),
+            **changes,
+        }
+        self.told = start.check(config)
+        self.program = Program(self.told)
+        self.program.discovery.begin(self.told.known)
+        self.proxy = self.program.proxy
+        self.balancer = self.proxy.balancer
+        self.balancer.most = 10**9  # nothing that is told of a server is too much to be believed
+        self.servers = self.balancer.servers
+        self.sent: list[tuple[bytes, Address]] = []
+        assert self.proxy.peers is not None
+        self.peers = self.proxy.peers
+        self.peers.transport = SimpleNamespace(write=lambda *sent: self.sent.append(sent))
+
+    def datagrams(self) -> list[bytes]:
+        """What it has told since."""
+        self.peers.send()
+        sent, self.sent = self.sent, []
+        assert max(len(data) for data, _ in sent) <= LONGEST
+        return [data for data, _ in sent]
+
+    def hear(self, datagrams: list[bytes], number: int) -> None:
+        for data in datagrams:
+            self.peers.datagramReceived(data, address(PEERS[number], "peers"))
+
+
+def test_counts_of_all_servers_come_from_all_processes_and_go_out_as_sums_that_fit() -> None:
+    sender, aggregator, third = (Process(number) for number in (1, 0, 2))
+    assert sorted(aggregator.peers.numbers.values()) == list(range(PROCESSES))
+    held = {server: 300 * number for number, server in enumerate(sender.servers.values())}
+    sender.proxy.tell_held(held.items(), True, None, False)
+    datagrams = sender.datagrams()
+    assert len(datagrams) <= SERVERS // 40  # three bytes for a tag, two or three for a count of thousands
+    aggregator.hear(datagrams, 1)
+    assert [server.elsewhere.get(1, 0) for server in aggregator.servers.values()] == list(held.values())
+
+    sender.proxy.tell_held(dict.fromkeys(held, 1).items(), True, None, False)
+    datagrams = sender.datagrams()
+    assert len(datagrams) <= SERVERS // 60
+    for number in range(2, PROCESSES):
+        aggregator.hear(datagrams, number)
+    sums = [count + PROCESSES - 2 for count in held.values()]
+    assert [server.others for server in aggregator.servers.values()] == sums
+
+    aggregator.balancer.keeper = 0
+    aggregator.balancer.tell_changes(aggregator.proxy.clock.now())
+    third.hear(aggregator.datagrams(), 0)
+    assert [server.others for server in third.servers.values()] == sums
+
+
+def test_message_times_homes_and_turns_of_all_servers_reach_who_they_are_for() -> None:
+    sender, receiver = Process(1), Process(0)
+    homes, turns = list[Any](), list[Any]()
+    balancer: Any = receiver.balancer
+    balancer.home_told = lambda now, *home: homes.append(home)
+    balancer.turn_told = lambda now, *turn: turns.append(turn)
+    for number, server in enumerate(sender.servers.values()):
+        if number % 2:
+            sender.proxy.tell_peers(server, 0.001 * number)
+        sender.proxy.tell_homes([(number << records.SPOT_CUT, server)])
+    receiver.hear(sender.datagrams(), 1)
+    told_of = [server.id for server in receiver.servers.values() if server.told_at]
+    assert told_of == NAMES[1::2]
+    late = [server.id for server in receiver.servers.values() if server.slow_until]
+    longest = receiver.proxy.terms.shortest_message / 3
+    assert late == [name for number, name in enumerate(NAMES) if number % 2 and 0.001 * number > longest]
+    assert homes == [
+        (number << records.SPOT_CUT, each) for number, each in enumerate(receiver.servers.values())
+    ]
+    for server in sender.servers.values():
+        sender.proxy.tell_turn(server, 0, 2)
+    receiver.hear(sender.datagrams(), 1)
+    assert turns == [(1, server, 2) for server in receiver.servers.values()]
+
+
+def test_servers_whose_tags_are_the_same_are_never_taken_for_each_other(
+    monkeypatch: pytest.MonkeyPatch, capsys: pytest.CaptureFixture[str]
+) -> None:
+    digest: Callable[[bytes], Any] = vars(records)["md5"]
+
+    def md5(text: bytes) -> Any:
+        own = digest(text).digest()
+        first = {b"s-0007#0": b"s-0003#0", b"s-1001#0": b"s-0500#0"}.get(text)
+        return SimpleNamespace(digest=lambda: own[:12] + digest(first).digest()[12:] if first else own)
+
+    monkeypatch.setattr(records, "md5", md5)
+    same = {"s-0007", "s-0003", "s-1001", "s-0500"}
+    sender, receiver = Process(1, fleet={}), Process(0)
+    turns: list[str] = []
+    balancer: Any = receiver.balancer
+    balancer.turn_told = lambda now, peer, server, word: turns.append(server.id)
+    sender.proxy.tell_held([(server, 9) for server in sender.servers.values()], True, None, False)
+    for server in sender.servers.values():
+        sender.proxy.tell_peers(server, 9.0)
+        sender.proxy.tell_turn(server, 0, 2)
+    receiver.hear(sender.datagrams(), 1)
+    apart = [name for name in NAMES if name not in same]
+    assert turns == apart
+    assert [server.id for server in receiver.servers.values() if server.others] == apart
+    assert [server.id for server in receiver.servers.values() if server.slow_until] == apart
+    said = [line for line in capsys.readouterr().err.splitlines() if "tags" in line]
+    assert len(said) == 2 and all(name in line for name in same for line in said)
+    # A process whose list has only one of two reports of it; who has both believes nothing of that.
+    shorter = {**LIST, "hosts": [host for host in LIST["hosts"] if host["host"] not in ("s-0007", "s-1001")]}
+    fourth = Process(3, shorter)
+    fourth.proxy.tell_held([(server, 5) for server in fourth.servers.values()], True, None, False)
+    receiver.hear(fourth.datagrams(), 3)
+    assert [server.id for server in receiver.servers.values() if server.elsewhere.get(3)] == apart
+    # Nor are they judged for each other.
+    shares: Any = sender.proxy.shares
+    for _ in range(judgements.TRIES):
+        for name in ("s-0003", "s-0001"):
+            shares.tried(sender.servers[name], False)
+    good, bad = shares.fleet.judgements.opinions(sender.proxy.clock.now())
+    assert good == [] and len(bad) == 1
+
+
+def test_small_lists_have_short_tags_which_a_longer_list_reads_where_they_are_its_own() -> None:
+    few = {**LIST, "hosts": LIST["hosts"][:20]}
+    sender, receiver = Process(1, few), Process(0)
+    sender.proxy.tell_held([(server, 7) for server in sender.servers.values()], True, None, False)
+    datagrams = sender.datagrams()
+    assert [len(data) for data in datagrams] == [1 + 1 + 1 + 20 * 3]
+    receiver.hear(datagrams, 1)
+    tags = Counter(server.points[0] & 0xFFFF for server in receiver.servers.values())
+    apart = [name for name in NAMES[:20] if tags[receiver.servers[name].points[0] & 0xFFFF] == 1]
+    assert [server.id for server in receiver.servers.values() if server.elsewhere.get(1) == 7] == apart
+    assert len(tags) < SERVERS  # two bytes would not do for the longer list
+
+
+def test_messages_on_the_wire_hold_no_more_than_it_takes() -> None:
+    pipe = Pipe()
+    table = [[name, "a", "m", 0, "IN", 1, None] for name in NAMES]
+    news: list[Any] = [["TABLE", 0, table]]
+    for number in (0, 1):
+        news.append(["ENLIST", f"proxy/{number}", number, settings(number)])
+        news.append(["ROSTER_CHANGE", f"proxy/{number}", "SAVED", 1, 0])
+    pipe.batch(json.dumps({"t_us": 10**6, "news": news}))
+    reader_, sender = pipe.doors["proxy/0"], pipe.doors["proxy/1"]
+    reader_.balancer.most = 10**9
+    pipe.out.clear()
+    servers: list[records.Server] = list(sender.balancer.servers.values())
+    sender.tell_held([(server, 300 * number) for number, server in enumerate(servers)], True, None, False)
+    sender.finish()
+    texts = [action[3] for action in pipe.out]
+    assert max(map(len, texts)) <= LONGEST
+    pipe.batch(json.dumps({"t_us": 10**6, "news": [["PEER", "proxy/0", 1, text] for text in texts]}))
+    told_of = [server.elsewhere.get(1, 0) for server in reader_.balancer.servers.values()]
+    assert told_of == [300 * number for number in range(SERVERS)]
+
+
+def test_lists_of_all_servers_come_in_from_each_source() -> None:
+    version, whole, listed, addresses = list_of(LIST)
+    assert (version, whole, len(listed), len(addresses)) == (1, True, SERVERS, SERVERS)
+    heard: list[Any] = []
+    discovery = SimpleNamespace(heard=heard.append, broke=heard.append)
+    discovery.proxy = SimpleNamespace(
+        clock=SimpleNamespace(now=lambda: 0.0, after_reads=lambda *_: None), terms=None
+    )
+    discovery.watch = watch = Watch(discovery)  # type: ignore[arg-type]
+    for text in (json.dumps(LIST), json.dumps(LIST, indent=4)):
+        data = text.encode() + b"\n"
+        for at in range(0, len(data), 1400):
+            watch.dataReceived(data[at : at + 1400])
+    assert heard == [LIST, LIST]
+
+    servers = "".join(
+        f'[[server]]\nname = "{name}"\naddress = "{place}"\n'
+        for name, place in zip(NAMES, PLACES, strict=True)
+    )
+    reading, of_file = entries.read(servers + "[end]\n")
+    assert not reading.faults and [server.name for server in of_file] == NAMES
+
+    items = [
+        {"Node": {"Node": "n", "Address": place.split(":")[0]}, "Service": {"ID": name, "Port": 5000}}
+        for name, place in zip(NAMES, PLACES, strict=True)
+    ]
+    found, unused = answers.Reader(answers.Keys()).instances(json.dumps(items).encode())
+    assert len(found) == SERVERS and not unused
+
+
+def test_the_sidecars_file_may_name_all_servers_and_members(tmp_path: Path) -> None:
+    members = ", ".join(f'"{peer}"' for peer in PEERS)
+    fleet = f'[fleet]\nlisten = "{PEERS[7]}"\nmembers = [{members}]\n\n[log]'
+    servers = "".join(
+        f'[[server]]\nname = "{name}"\naddress = "{place}"\n'
+        for name, place in zip(NAMES, PLACES, strict=True)
+    )
+    text = GOOD[: GOOD.index("[[server]]")].replace("[log]", fleet)
+    text = text.replace("descriptors = 512", "descriptors = 2048").replace("128MiB", "512MiB")
+    path = tmp_path / "maps.toml"
+    path.write_text(f"sidecars = {PROCESSES}\nnumber = 7\n{text}{servers}\n[end]\n")
+    read = reader.read(str(path), {}, Machine(10**6, 2**40))
+    assert read.lines() == [] and read.file and read.file.fleet
+    assert [server.name for server in read.servers] == NAMES and read.file.fleet.members == PEERS
+    assert read.terms and (read.terms.proxies, read.terms.number) == (PROCESSES, 7)
+
+
+def test_what_operators_said_of_all_servers_goes_along_to_the_next_process() -> None:
+    before, after = Process(1), Process(1, {**LIST, "hosts": []})
+    for name in NAMES:
+        before.proxy.take_out(name)
+    line = handover.line_of({"estate": estate.left(before.proxy, before.program.discovery)})
+    assert len(line) < handover.LONGEST
+    estate.take_up(after.proxy, after.program.discovery, estate.read(json.loads(line)["estate"]))
+    assert list(after.proxy.rotation.out) == NAMES and list(after.servers) == NAMES
+    rotation, listed = Rotation(), [entry(name) for name in NAMES]
+    for old in range(4):  # names that were listed once are forgotten ahead of those that are listed
+        rotation.told([entry(f"{old}{name}") for name in NAMES], True)
+    assert rotation.told(listed, True) == listed and {each[0] for each in listed} <= set(rotation.listed)
+
+
+def entry(name: str) -> Entry:
+    return name, "a", 0, Condition.READY, 1.0, 0.0
+
+
+class Members:
+    """The processes of one fleet in virtual time; each datagram takes up to 20 ms."""
+
+    def __init__(self) -> None:
+        self.now, self.rng, self.order = 0.0, Random(1), count()
+        self.events: list[tuple[float, int, Callable[[], None]]] = []
+        budget = Budget("flows", 10 * PROCESSES, 2.0, PROCESSES)
+        self.fleets: list[Fleet] = []
+        for number in range(PROCESSES):
+            say = partial(self.carry, number)
+            fleet = Fleet(number, PROCESSES, [budget], 10**12, 0.0, number, say, lambda line: None, self.tags)
+            self.fleets.append(fleet)
+            self.later(self.rng.uniform(0, TURN), partial(self.turn, fleet))
+
+    @staticmethod
+    def tags() -> list[int]:
+        """The largest, which take the most bytes."""
+        return list(range(2**32 - SERVERS, 2**32))
+
+    def later(self, seconds: float, call: Callable[[], None]) -> None:
+        heappush(self.events, (self.now + seconds, next(self.order), call))
+
+    def turn(self, fleet: Fleet) -> None:
+        fleet.turn(self.now)
+        self.later(TURN, partial(self.turn, fleet))
+
+    def carry(self, sender: int, data: bytes, to: int | None) -> None:
+        assert len(data) <= LONGEST
+        for number in range(PROCESSES) if to is None else (to,):
+            if number != sender:
+                self.later(self.rng.uniform(0.0, 0.02), partial(self.arrive, number, sender, data))
+
+    def arrive(self, number: int, sender: int, data: bytes) -> None:
+        self.fleets[number].heard(self.now, sender, data)
+
+    def run(self, seconds: float) -> None:
+        until = self.now + seconds
+        while self.events[0][0] < until:
+            self.now, _, call = heappop(self.events)
+            call()
+        self.now = until
+
+
+def test_a_fleet_of_all_processes_finds_a_leader_lends_to_each_and_judges_all_servers() -> None:
+    members = Members()
+    members.run(9.0)
+    assert {fleet.coverage(members.now).heard for fleet in members.fleets} == {PROCESSES}
+    assert all(fleet.lent(members.now) for fleet in members.fleets)
+    for fleet in members.fleets:
+        fleet.counts.note(1, "feed", "acme", "v1")
+    tags = members.tags()
+    bad = tags[::5][:200]
+    for fleet in members.fleets[1:4]:
+        for tag in tags:
+            for _ in range(judgements.TRIES):
+                fleet.judgements.tried(members.now, tag, tag not in bad)
+    members.run(7.0)
+    for fleet in (members.fleets[0], members.fleets[-1]):
+        assert sorted(fleet.judgements.passed_over(members.now, tags)) == bad
+        assert sum(totals[1] for totals in fleet.counts.fleet.values()) == PROCESSES
+
+
+def test_the_ring_holds_all_servers() -> None:
+    balancer: Balancer = Process(0).balancer
+    assert len(balancer.ring.points) == SERVERS * records.POINTS
+    assert len(set(balancer.ring.round(7))) == SERVERS
