--- /dev/null
+++ b/benchmarks/large_fleet.py
@@ -0,0 +1,197 @@
+"""One process of a fleet of 1,024 before 1,024 servers, beside a small one: start, ring, memory.
+
+    python -m benchmarks.large_fleet        # some seconds
+
+The process is real, on loopback; its memory is the kernel's account. Then every other process reports a
+connection at each server to it, as all do to the one that adds up for them.
+"""
+
+from __future__ import annotations
+
+import json
+import os
+import socket
+import statistics
+import subprocess
+import sys
+import tempfile
+import time
+from pathlib import Path
+from types import SimpleNamespace
+from typing import Any
+
+from brambleplank.decide import Ring
+from brambleplank.records import Server
+from brambleplank.server_tags import ServerTags
+from brambleplank.talk import Talk
+
+SIZES = ((3, 32), (230, 400), (1024, 1024))  # processes, servers
+ROUNDS = 5
+PATIENCE = 30.0
+PORT = 7946
+TICKS = os.sysconf("SC_CLK_TCK")
+SETTINGS: dict[str, Any] = {
+    "slot_no": 0,
+    "tick_us": 5000,
+    "discovery": "push",
+    "policy_limits": {
+        "max_connects": 3,
+        "may_probe": False,
+        "cancelling": True,
+        "retry_after": True,
+        "max_retry_after_us": 2000000,
+        "connect_timeout_us": 150000,
+        "peers": True,
+    },
+    "rules": {
+        "stop_sending_within_us": 1000000,
+        "ask_within_us": 10000000,
+        "cold_from": 0.2,
+        "ramp_time_us": 20000000,
+        "overload_factor": 3,
+        "fall_us": 2000000,
+    },
+    "service_types": [
+        {"name": "feed", "effect": "repeatable", "setup_target_us": 300000, "deadline_us": 1800000}
+    ],
+}
+
+
+def peer(number: int) -> str:
+    return f"127.77.{number // 250}.{1 + number % 250}"
+
+
+def spare_port() -> int:
+    with socket.create_server(("127.0.0.1", 0)) as spare:
+        port: int = spare.getsockname()[1]
+        return port
+
+
+def hosts(servers: int) -> list[dict[str, Any]]:
+    usual = {"site": "a", "block": 0, "health": "ready", "share": 1.0, "born_ms": 0}
+    return [
+        {"host": f"s-{n:04}", "dial": f"127.78.{n // 250}.{1 + n % 250}:9", **usual} for n in range(servers)
+    ]
+
+
+class Process:
+    """The program under a configuration of so many processes and servers."""
+
+    def __init__(self, folder: Path, processes: int, servers: int) -> None:
+        self.port = spare_port()
+        path = folder / "config.json"
+        config = {
+            "name": "n0",
+            "listen": f"127.0.0.1:{self.port}",
+            "discovery": f"127.0.0.1:{spare_port()}",
+            "seed": "1f",
+            "limits": {"sockets": 1024},
+            "known": {"seq": 1, "whole": True, "hosts": hosts(servers)},
+            "peer_listen": f"{peer(0)}:{PORT}",
+            "peers": [f"{peer(number)}:{PORT}" for number in range(processes)],
+            "peers_all": f"127.77.255.1:{PORT}",
+            "settings": {**SETTINGS, "balancers": processes},
+        }
+        path.write_text(json.dumps(config))
+        began = time.perf_counter()
+        self.process = subprocess.Popen(
+            [sys.executable, "-m", "brambleplank"],
+            env={**os.environ, "ROUTER_CONFIG": str(path)},
+            stderr=subprocess.DEVNULL,
+        )
+        while not self.ping():
+            if self.process.poll() is not None or time.perf_counter() > began + PATIENCE:
+                raise RuntimeError("it does not start")
+        self.start = time.perf_counter() - began
+
+    def ping(self) -> bool:
+        try:
+            with socket.create_connection(("127.0.0.1", self.port), PATIENCE) as caller:
+                caller.sendall(b"PING\r\n")
+                return caller.recv(16).startswith(b"PONG")
+        except ConnectionRefusedError:
+            return False
+
+    def resident(self) -> float:
+        """MiB."""
+        status = Path(f"/proc/{self.process.pid}/status").read_text()
+        line = next(line for line in status.splitlines() if line.startswith("VmRSS"))
+        return int(line.split()[1]) / 1024
+
+    def processor(self) -> float:
+        """Seconds."""
+        fields = Path(f"/proc/{self.process.pid}/stat").read_text().rpartition(")")[2].split()
+        return (int(fields[11]) + int(fields[12])) / TICKS
+
+    def end(self) -> None:
+        self.process.kill()
+        self.process.wait()
+
+
+def report_of_all(servers: int) -> list[bytes]:
+    """The datagrams in which a process says that it holds one connection at each server."""
+    tags = ServerTags(Server(host["host"], 0.0) for host in hosts(servers))
+    sent: list[bytes] = []
+    nothing: Any = None
+    talk = Talk(
+        lambda data, to: sent.append(data),
+        256,
+        lambda call: None,
+        lambda: tags,
+        nothing,
+        nothing,
+        nothing,
+        nothing,
+    )
+    talk.tell_held(dict.fromkeys(tags.by_id.values(), 1), True, None, False)
+    talk.send()
+    return sent
+
+
+def report_everything(process: Process, processes: int, datagrams: list[bytes]) -> None:
+    for number in range(1, processes):
+        with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sender:
+            sender.bind((peer(number), PORT))
+            for data in datagrams:
+                sender.sendto(data, (peer(0), PORT))
+        process.ping()  # it has had a turn to read them: none is lost for want of room
+
+
+def ring_build(servers: int) -> float:
+    """Seconds for the records of so many servers and their ring."""
+    began = time.perf_counter()
+    listed = [Server(host["host"], 0.0) for host in hosts(servers)]
+    Ring(SimpleNamespace(terms=None)).build(listed)  # type: ignore[arg-type]
+    return time.perf_counter() - began
+
+
+def main() -> None:
+    print(
+        "processes servers | start s: median, most | resident MiB | ring s | told by all: datagrams, MiB, s"
+    )
+    for processes, servers in SIZES:
+        starts, resident = [], []
+        datagrams = report_of_all(servers)
+        for last in (n == ROUNDS - 1 for n in range(ROUNDS)):
+            with tempfile.TemporaryDirectory() as folder:
+                process = Process(Path(folder), processes, servers)
+                try:
+                    starts.append(process.start)
+                    resident.append(process.resident())
+                    if last:
+                        before = process.processor()
+                        report_everything(process, processes, datagrams)
+                        after, told = process.processor(), process.resident()
+                finally:
+                    process.end()
+        ring = statistics.median(ring_build(servers) for _ in range(ROUNDS))
+        print(
+            f"{processes:9} {servers:7} | {statistics.median(starts):.2f} {max(starts):.2f} | "
+            f"{statistics.median(resident):.1f} | {ring:.3f} | "
+            f"{len(datagrams) * (processes - 1)} {told:.1f} {after - before:.2f}",
+            flush=True,
+        )
+
+
+if __name__ == "__main__":
+    main()
