--- a/benchmarks/sharing.py
+++ b/benchmarks/sharing.py
@@ -12,7 +12,7 @@
 
 from benchmarks.world import Node, World
 from brambleplank.fleet.budgets import Budget
-from brambleplank.fleet.office import TELL
+from brambleplank.fleet.leader_election import TELL
 
 LIMIT, WINDOW = 1000, 10.0
 STEP = 0.02  # seconds between two bursts of demand
--- a/benchmarks/world.py
+++ b/benchmarks/world.py
@@ -15,7 +15,7 @@
 from brambleplank.fleet.budgets import CONNECTIONS_GO, Budget
 from brambleplank.fleet.errors import BrokenError
 from brambleplank.fleet.fleet import Fleet
-from brambleplank.fleet.office import RATE
+from brambleplank.fleet.leader_election import RATE
 
 TURN = 0.1  # seconds between two turns of a member
 
--- a/brambleplank/fleet/editions.py
+++ b/brambleplank/fleet/editions.py
@@ -18,7 +18,7 @@
 
 from brambleplank.fleet import words
 from brambleplank.fleet.errors import BrokenError
-from brambleplank.fleet.office import LEASE, TELL
+from brambleplank.fleet.leader_election import LEASE, TELL
 
 LARGEST = 1024 * 1024  # bytes of a text
 AT_ONCE = 24  # pieces sent for one asking
--- a/brambleplank/fleet/fleet.py
+++ b/brambleplank/fleet/fleet.py
@@ -17,7 +17,7 @@
 from brambleplank.fleet.editions import Editions
 from brambleplank.fleet.errors import BrokenError, ForeignError, UnlentError
 from brambleplank.fleet.judgements import Judgements
-from brambleplank.fleet.office import LEASE, TELL, Office
+from brambleplank.fleet.leader_election import LEASE, TELL, LeaderElection
 
 SOONEST = 0.25  # seconds between two askings, where one is refused for want of a loan
 MOST_OLDER = 4  # earlier starts of a process that are remembered
@@ -57,7 +57,7 @@
         self.say, self.log, self.servers, self.check = say, log, servers, check
         self.rng = Random(seed)
         self.began = now
-        self.office = Office(number, members, incarnation, now, self.rng)
+        self.office = LeaderElection(number, members, incarnation, now, self.rng)
         self.accounts = {b.name: Account(b, number, now) for b in budgets}
         self.by_tag = {account.budget.tag: account for account in self.accounts.values()}
         self.ledgers = {b.tag: Ledger(b) for b in budgets}
--- a/brambleplank/fleet/office.py
+++ b/brambleplank/fleet/leader_election.py
@@ -21,7 +21,7 @@
 FURTHEST = 1_000_000  # terms that one word may be ahead
 
 
-class Office:
+class LeaderElection:
     """One member's part: whom it follows, and whether it is in office itself."""
 
     def __init__(self, number: int, members: int, incarnation: int, now: float, rng: Random) -> None:
--- a/brambleplank/fleet/retiring.py
+++ b/brambleplank/fleet/retiring.py
@@ -17,7 +17,7 @@
 from brambleplank.fleet.counts import OFFERED, REFUSED, SERVED, SHED, Totals, key_of
 from brambleplank.fleet.editions import Editions
 from brambleplank.fleet.fleet import Fleet
-from brambleplank.fleet.office import LEASE, TELL
+from brambleplank.fleet.leader_election import LEASE, TELL
 from brambleplank.fleet.retirement import (
     ENDED,
     PAUSED,
--- a/brambleplank/fleet/routing.py
+++ b/brambleplank/fleet/routing.py
@@ -14,8 +14,8 @@
 from brambleplank.fleet.editions import Editions, digest_of
 from brambleplank.fleet.errors import FleetError
 from brambleplank.fleet.fleet import Fleet
+from brambleplank.fleet.leader_election import TELL
 from brambleplank.fleet.lint import Finding, Known, lint
-from brambleplank.fleet.office import TELL
 
 KIND = 0
 ASKS_FOR = 3 * TELL  # seconds that a start asks the others which edition is in force
--- a/tests/processes.py
+++ b/tests/processes.py
@@ -21,8 +21,8 @@
 
 # Times of the fleet, shorter, so that a story takes seconds; what imports them comes later.
 QUICK = """
-from brambleplank.fleet import office
-office.TELL, office.LEASE = 0.25, 1.0
+from brambleplank.fleet import leader_election
+leader_election.TELL, leader_election.LEASE = 0.25, 1.0
 from brambleplank.fleet import budgets
 budgets.CONNECTIONS_GO = 2.0
 from brambleplank.fleet import editions
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -15,7 +15,7 @@
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule, run_state_machine_as_test
 
 from benchmarks.world import World, duel, rough
-from brambleplank.fleet import budgets, counts, fleet, office, words
+from brambleplank.fleet import budgets, counts, fleet, leader_election, words
 from brambleplank.fleet.budgets import Budget, Spent
 from brambleplank.fleet.counts import SERVED, Counts, merged
 from brambleplank.fleet.errors import BrokenError, ForeignError
@@ -156,9 +156,9 @@
         "True",
     ),
     "a late asking counts": (fleet.Fleet, "heard_ask", "ask.number <= member.asked", "False"),
-    "a start promises at once": (office.Office, "__init__", "now + LEASE * LONGER", "now"),
+    "a start promises at once": (leader_election.LeaderElection, "__init__", "now + LEASE * LONGER", "now"),
     "a promise counts from its arrival": (
-        office.Office,
+        leader_election.LeaderElection,
         "supported",
         "self.sent[beat] + LEASE * SHORTER",
         "now + LEASE",
@@ -171,7 +171,7 @@
     of, names, old, new = FAULTS[fault]
     for name in names.split():
         monkeypatch.setattr(of, name, changed(getattr(of, name), old, new))
-    seeds = [25 * n for n in range(40)] if of is office.Office else range(1, 100)
+    seeds = [25 * n for n in range(40)] if of is leader_election.LeaderElection else range(1, 100)
     with pytest.raises(BrokenError):
         for seed in seeds:
             play(seed, 30)
