Rename fleet/words.py to messages.py, its classes and fields by the field's terms

A "word" is a message: Heartbeat, LeaseRequest, LeaseGrant, StaleIncarnation, CountReport, Aggregates, ServerObservations, Ejections, VersionReport, VersionAnnouncement, ChunkRequest, Chunk, Vote, PublishRequest, PublishResponse, with constants named as such. Structs go over the wire as arrays with numbered tags, so no byte of a datagram changes. Two fields of Heartbeat keep their names while the election is worked on.

--- a/brambleplank/fleet/counts.py
+++ b/brambleplank/fleet/counts.py
@@ -10,12 +10,12 @@
 from collections.abc import Iterable
 from dataclasses import dataclass
 
-from brambleplank.fleet.words import LONGEST, MOST_NAME, Count
+from brambleplank.fleet.messages import MAX_DATAGRAM, MAX_NAME, Count
 
 OFFERED, SERVED, REFUSED, WARNED, SHED = range(5)
 MOST_KEYS = 256  # of one process, and of the fleet; what comes beyond counts as `other`
 OTHER = "other"
-ROOM = LONGEST - 24  # bytes of a datagram for counts
+ROOM = MAX_DATAGRAM - 24  # bytes of a datagram for counts
 
 Totals = list[int]
 
@@ -33,7 +33,7 @@
 
 
 def key_of(service_type: str, customer: str, version: str) -> str:
-    return "/".join(part[:MOST_NAME] for part in (service_type, customer, version))
+    return "/".join(part[:MAX_NAME] for part in (service_type, customer, version))
 
 
 def merged(one: dict[str, Totals], other: dict[str, Totals]) -> dict[str, Totals]:
--- a/brambleplank/fleet/editions.py
+++ b/brambleplank/fleet/editions.py
@@ -16,7 +16,7 @@
 from dataclasses import dataclass, field
 from random import Random
 
-from brambleplank.fleet import words
+from brambleplank.fleet import messages
 from brambleplank.fleet.errors import BrokenError
 from brambleplank.fleet.leader_election import LEASE, TELL
 
@@ -30,7 +30,7 @@
 ASKED = 3  # other members that a start asks at once
 ASKS = 10  # tellings in which it does
 
-Say = Callable[[words.Word, int | None], None]
+Say = Callable[[messages.Message, int | None], None]
 # Makes a text ready and judges it; tells the objection, "" for none, at once or later.
 Judge = Callable[[int, bytes, Callable[[str], None]], None]
 
@@ -98,7 +98,9 @@
         # Offered here, and not decided yet.
         self.offer: int | None = None
         self.instead = 0  # the edition that was in force then
-        self.unfinished: tuple[int, words.Edition] | None = None  # told, and its texts are on their way
+        self.unfinished: tuple[int, messages.VersionAnnouncement] | None = (
+            None  # told, and its texts are on their way
+        )
         self.heard_of = 0, 0, 0  # whose telling was the newest, by which start, and its number
         self.tellings = 0  # this process's own
         self.asks_left = ASKS  # tellings in which a start asks others
@@ -106,7 +108,7 @@
         # In office.
         self.open_at: float | None = None
         self.term = 0
-        self.reports: dict[int, words.Holds] = {}
+        self.reports: dict[int, messages.VersionReport] = {}
         self.recovered = False
         self.proposal: Proposal | None = None
         self.waiting: dict[int, tuple[int, int]] = {}  # who offers what, in place of which edition
@@ -143,24 +145,24 @@
         pull = self.pull
         if pull is not None and now >= pull.asked_at + ASK_AGAIN:
             pull.asked_at = now
-            self.say(words.Need(self.incarnation, pull.digest, pull.first()), pull.source)
+            self.say(messages.ChunkRequest(self.incarnation, pull.digest, pull.first()), pull.source)
 
-    def needed(self, who: int, word: words.Need) -> None:
-        data = self.texts.get(word.digest)
+    def needed(self, who: int, message: messages.ChunkRequest) -> None:
+        data = self.texts.get(message.digest)
         if data is None:
             return
-        of = -(-len(data) // words.PIECE)
-        for n in range(word.first, min(of, word.first + AT_ONCE)):
-            part = data[n * words.PIECE : (n + 1) * words.PIECE]
-            self.say(words.Piece(self.incarnation, word.digest, n, of, part), who)
+        of = -(-len(data) // messages.CHUNK_SIZE)
+        for n in range(message.first, min(of, message.first + AT_ONCE)):
+            part = data[n * messages.CHUNK_SIZE : (n + 1) * messages.CHUNK_SIZE]
+            self.say(messages.Chunk(self.incarnation, message.digest, n, of, part), who)
 
-    def came(self, now: float, word: words.Piece) -> None:
+    def came(self, now: float, message: messages.Chunk) -> None:
         pull = self.pull
-        if pull is None or word.digest != pull.digest or word.of * words.PIECE > LARGEST:
+        if pull is None or message.digest != pull.digest or message.total * messages.CHUNK_SIZE > LARGEST:
             return
-        pull.of = word.of
-        if word.number < word.of:
-            pull.pieces[word.number] = word.data
+        pull.of = message.total
+        if message.index < message.total:
+            pull.pieces[message.index] = message.data
         if len(pull.pieces) < pull.of:
             if pull.first() % AT_ONCE == 0:
                 pull.asked_at = float("-inf")
@@ -190,7 +192,7 @@
     def tell_offer(self, now: float, lender: int | None) -> None:
         if self.offer is None or lender is None:
             return
-        offer = words.Offer(self.incarnation, self.kind, self.offer, self.instead)
+        offer = messages.PublishRequest(self.incarnation, self.kind, self.offer, self.instead)
         if lender == self.number:
             self.offered(now, self.number, offer)
         else:
@@ -205,16 +207,16 @@
         self.ask_for_pieces(now)
         if self.unfinished is not None:
             # Danger: a halt that waited for the next telling would bind a second later.
-            by, word = self.unfinished
+            by, message = self.unfinished
             self.unfinished = None
             if by == lender:
-                self.act_on(now, by, word)
+                self.act_on(now, by, message)
         if self.open_at is not None:
             self.lead(now)
 
     def tell(self, now: float, lender: int | None) -> None:
         """Once in a telling, to who is followed."""
-        holds = words.Holds(
+        holds = messages.VersionReport(
             self.incarnation,
             self.kind,
             self.edition,
@@ -241,65 +243,65 @@
             # Danger: said before, members would give up what they agreed to, which may be in force somewhere.
             self.announce()
 
-    def told(self, now: float, lender: int, word: words.Edition) -> None:
+    def told(self, now: float, lender: int, message: messages.VersionAnnouncement) -> None:
         """What is in force and proposed, by who is followed and in office."""
         *teller, number = self.heard_of
-        if teller == [lender, word.incarnation] and word.number <= number:
+        if teller == [lender, message.incarnation] and message.sequence <= number:
             return  # Danger: a late one that proposes nothing would undo what was agreed to since.
-        self.heard_of = lender, word.incarnation, word.number
+        self.heard_of = lender, message.incarnation, message.sequence
         self.unfinished = None
-        self.act_on(now, lender, word)
-
-    def act_on(self, now: float, lender: int, word: words.Edition) -> None:
-        self.newest = max(self.newest, word.edition, word.proposed)
-        if word.edition == self.edition:
-            self.knows = self.knows or word.edition > 0
-        elif word.edition > self.edition:
-            if not (self.want(word.digest, lender) and self.ready(word.digest)):
-                self.unfinished = lender, word
+        self.act_on(now, lender, message)
+
+    def act_on(self, now: float, lender: int, message: messages.VersionAnnouncement) -> None:
+        self.newest = max(self.newest, message.version, message.proposed)
+        if message.version == self.edition:
+            self.knows = self.knows or message.version > 0
+        elif message.version > self.edition:
+            if not (self.want(message.digest, lender) and self.ready(message.digest)):
+                self.unfinished = lender, message
                 return
-            self.put_in_force(word.edition, word.digest)
-        if word.proposed > self.edition:
+            self.put_in_force(message.version, message.digest)
+        if message.proposed > self.edition:
             # One text after the other: what is in force comes first.
-            if self.edition == word.edition:
-                if self.want(word.proposed_digest, lender) and self.ready(word.proposed_digest):
-                    self.vote(now, lender, word)
+            if self.edition == message.version:
+                if self.want(message.proposed_digest, lender) and self.ready(message.proposed_digest):
+                    self.vote(now, lender, message)
                 else:
-                    self.unfinished = lender, word
-        elif word.term >= self.agreed_term and word.edition >= self.edition:
+                    self.unfinished = lender, message
+        elif message.term >= self.agreed_term and message.version >= self.edition:
             self.agreed = self.agreed_term = self.agreed_digest = 0  # it is in force, or was given up
             self.judged = {d: why for d, why in self.judged.items() if d == self.digest}
 
-    def learn(self, lender: int, word: words.Edition) -> None:
+    def learn(self, lender: int, message: messages.VersionAnnouncement) -> None:
         """A start hears what is in force before it follows anyone; what it agreed to before stays unknown.
 
         Danger: one that lies could give it any text, under a number that none goes beyond; so two must say.
         """
-        if word.edition <= self.edition or len(self.learnt) > TEXTS_KEPT * ASKED:
+        if message.version <= self.edition or len(self.learnt) > TEXTS_KEPT * ASKED:
             return
-        tellers = self.learnt.setdefault((word.edition, word.digest), set())
+        tellers = self.learnt.setdefault((message.version, message.digest), set())
         tellers.add(lender)
         enough = len(tellers) >= min(2, self.members - 1)
-        if enough and self.want(word.digest, lender) and self.ready(word.digest):
-            self.put_in_force(word.edition, word.digest)
+        if enough and self.want(message.digest, lender) and self.ready(message.digest):
+            self.put_in_force(message.version, message.digest)
             self.knows = False
             self.learnt.clear()
 
-    def vote(self, now: float, lender: int, word: words.Edition) -> None:
-        objection = self.judged[word.proposed_digest]
+    def vote(self, now: float, lender: int, message: messages.VersionAnnouncement) -> None:
+        objection = self.judged[message.proposed_digest]
         if not objection:
-            if word.term < self.agreed_term:
+            if message.term < self.agreed_term:
                 return  # Danger: a promise to a newer office would be forgotten for an older one.
-            self.agreed, self.agreed_term = word.proposed, word.term
-            self.agreed_digest = word.proposed_digest
-        vote = words.Vote(
+            self.agreed, self.agreed_term = message.proposed, message.term
+            self.agreed_digest = message.proposed_digest
+        vote = messages.Vote(
             self.incarnation,
             self.kind,
-            word.term,
-            word.proposed,
-            word.proposed_digest,
+            message.term,
+            message.proposed,
+            message.proposed_digest,
             not objection,
-            objection[: words.MOST_WHY],
+            objection[: messages.MAX_REASON],
         )
         if lender == self.number:
             self.voted(now, self.number, vote)
@@ -330,9 +332,9 @@
         if self.offer == digest:
             self.offer = None
 
-    def answered(self, word: words.Answer) -> None:
-        if word.digest == self.offer and word.why:
-            self.log(f"{self.name}: not published: {word.why}")
+    def answered(self, message: messages.PublishResponse) -> None:
+        if message.digest == self.offer and message.reason:
+            self.log(f"{self.name}: not published: {message.reason}")
             self.offer = None
 
     # In office.
@@ -346,37 +348,41 @@
     def close(self) -> None:
         self.open_at, self.proposal = None, None
 
-    def reported(self, now: float, who: int, word: words.Holds) -> None:
+    def reported(self, now: float, who: int, message: messages.VersionReport) -> None:
         if self.open_at is not None:
-            self.reports[who], self.heard_at[who] = word, now
-        if not word.edition and self.edition and who != self.number:
-            told = words.Edition(self.incarnation, self.kind, 0, 0, self.edition, self.digest, 0, 0)
+            self.reports[who], self.heard_at[who] = message, now
+        if not message.version and self.edition and who != self.number:
+            told = messages.VersionAnnouncement(
+                self.incarnation, self.kind, 0, 0, self.edition, self.digest, 0, 0
+            )
             self.say(told, who)
 
-    def offered(self, now: float, who: int, word: words.Offer) -> None:
+    def offered(self, now: float, who: int, message: messages.PublishRequest) -> None:
         if self.open_at is None:
             return
-        if word.digest == self.digest:
-            self.answer(who, word.digest, self.edition, "")
-        elif word.instead != self.edition:
-            self.answer(who, word.digest, 0, f"edition {self.edition} came first; offer it again")
-        elif self.proposal is not None and self.proposal.digest != word.digest:
-            self.answer(who, word.digest, 0, "another text is being published; offer it again")
+        if message.digest == self.digest:
+            self.answer(who, message.digest, self.edition, "")
+        elif message.replaces != self.edition:
+            self.answer(who, message.digest, 0, f"edition {self.edition} came first; offer it again")
+        elif self.proposal is not None and self.proposal.digest != message.digest:
+            self.answer(who, message.digest, 0, "another text is being published; offer it again")
         else:
-            self.waiting.setdefault(who, (word.digest, word.instead))
+            self.waiting.setdefault(who, (message.digest, message.replaces))
 
     def answer(self, who: int, digest: int, edition: int, why: str) -> None:
-        answer = words.Answer(self.incarnation, self.kind, digest, edition, why[: words.MOST_WHY])
+        answer = messages.PublishResponse(
+            self.incarnation, self.kind, digest, edition, why[: messages.MAX_REASON]
+        )
         if who == self.number:
             self.answered(answer)
         else:
             self.say(answer, who)
 
-    def voted(self, now: float, who: int, word: words.Vote) -> None:
+    def voted(self, now: float, who: int, message: messages.Vote) -> None:
         proposal = self.proposal
-        voted = word.term, word.proposed, word.digest
+        voted = message.term, message.version, message.digest
         if proposal and voted == (self.term, proposal.number, proposal.digest):
-            proposal.votes[who] = "" if word.agrees else word.why or "no reason given"
+            proposal.votes[who] = "" if message.accepts else message.reason or "no reason given"
 
     def lead(self, now: float) -> None:
         if not self.recovered:
@@ -395,16 +401,16 @@
     def recover(self, now: float) -> None:
         """Danger: what a majority agreed to under another may be in force somewhere, and would be undone."""
         assert self.open_at is not None
-        knowing = {who: r for who, r in self.reports.items() if r.knows}
+        knowing = {who: r for who, r in self.reports.items() if r.is_current}
         enough = len(knowing) >= self.majority or len(self.reports) == self.members
         if not enough and not (len(self.reports) >= self.majority and now >= self.open_at + RECOVERS):
             return
-        newest = max(knowing.items(), key=lambda item: item[1].edition, default=None)
-        if newest is not None and newest[1].edition > self.edition:
+        newest = max(knowing.items(), key=lambda item: item[1].version, default=None)
+        if newest is not None and newest[1].version > self.edition:
             if self.want(newest[1].digest, newest[0]) and self.ready(newest[1].digest):
-                self.put_in_force(newest[1].edition, newest[1].digest)
+                self.put_in_force(newest[1].version, newest[1].digest)
             return
-        agreed = [(r.agreed_term, r.agreed, r.agreed_digest, who) for who, r in self.reports.items()]
+        agreed = [(r.accepted_term, r.accepted, r.accepted_digest, who) for who, r in self.reports.items()]
         term, number, digest, who = max(agreed)
         if number > self.edition:
             if self.want(digest, who):
@@ -426,7 +432,7 @@
     def announce(self) -> None:
         proposal = self.proposal
         self.tellings += 1
-        word = words.Edition(
+        message = messages.VersionAnnouncement(
             self.incarnation,
             self.kind,
             self.tellings,
@@ -436,9 +442,9 @@
             proposal.number if proposal else 0,
             proposal.digest if proposal else 0,
         )
-        self.say(word, None)
+        self.say(message, None)
         if proposal is not None and proposal.digest in self.texts and self.ready(proposal.digest):
-            self.vote(proposal.since, self.number, word)
+            self.vote(proposal.since, self.number, message)
 
     def decide(self, now: float, proposal: Proposal) -> None:
         objections = {who: why for who, why in proposal.votes.items() if why}
--- a/brambleplank/fleet/fleet.py
+++ b/brambleplank/fleet/fleet.py
@@ -11,7 +11,7 @@
 from dataclasses import dataclass
 from random import Random
 
-from brambleplank.fleet import invariants, words
+from brambleplank.fleet import invariants, messages
 from brambleplank.fleet.budgets import Account, Borrower, Budget, Ledger
 from brambleplank.fleet.counts import Counts, Coverage
 from brambleplank.fleet.editions import Editions
@@ -23,7 +23,15 @@
 MOST_OLDER = 4  # earlier starts of a process that are remembered
 MS = 1000
 
-Agreeing = words.Holds | words.Edition | words.Need | words.Piece | words.Vote | words.Offer | words.Answer
+Agreeing = (
+    messages.VersionReport
+    | messages.VersionAnnouncement
+    | messages.ChunkRequest
+    | messages.Chunk
+    | messages.Vote
+    | messages.PublishRequest
+    | messages.PublishResponse
+)
 Say = Callable[[bytes, int | None], None]  # to one by its number, or to all others
 
 
@@ -126,7 +134,7 @@
             term, number = beat
             covers = self.coverage(now)
             self.send(
-                words.Beat(
+                messages.Heartbeat(
                     self.incarnation,
                     term,
                     number,
@@ -172,7 +180,7 @@
         self.asked += 1
         self.asked_at, self.refused = now, False
         self.unanswered += 1
-        ask = words.Ask(
+        ask = messages.LeaseRequest(
             self.incarnation,
             self.asked,
             office.lender_incarnation,
@@ -180,7 +188,7 @@
             supports,
             round(max(0.0, now - self.began) * MS),
             office.seen,
-            [words.Purse(a.budget.tag, a.binds(now), a.wants(now)) for a in self.accounts.values()],
+            [messages.Allocation(a.budget.tag, a.binds(now), a.wants(now)) for a in self.accounts.values()],
         )
         if office.lender == self.number:
             self.heard_ask(now, self.number, ask)
@@ -198,20 +206,23 @@
             self.judgements.said(now, self.number, good, bad, len(good) + len(bad), len(bad))
         elif lender is not None:
             if counts := self.counts.to_tell():
-                self.send(words.Counts(self.incarnation, counts), lender)
+                self.send(messages.CountReport(self.incarnation, counts), lender)
             if good or bad:
-                room = words.MOST_TAGS
+                room = messages.MAX_SERVERS
                 told_bad = bad[:room]
                 told_good = self.rng.sample(good, min(len(good), room - len(told_bad)))
                 self.send(
-                    words.Tried(self.incarnation, told_good, told_bad, len(good) + len(bad), len(bad)), lender
+                    messages.ServerObservations(
+                        self.incarnation, told_good, told_bad, len(good) + len(bad), len(bad)
+                    ),
+                    lender,
                 )
         if in_office:
             if sums := self.counts.to_say():
-                self.send(words.Sums(self.incarnation, sums))
+                self.send(messages.Aggregates(self.incarnation, sums))
             if judged := self.judgements.judged(now, len(self.servers())):
                 self.judgements.heard(now, judged)
-                self.send(words.Verdicts(self.incarnation, judged))
+                self.send(messages.Ejections(self.incarnation, judged))
 
     def look(self, now: float) -> None:
         """Says when the dark begins and ends; in office, who is no longer heard."""
@@ -264,121 +275,124 @@
 
     # What others say.
 
-    def send(self, word: words.Word, to: int | None = None) -> None:
-        self.say(words.encode(word), to)
+    def send(self, message: messages.Message, to: int | None = None) -> None:
+        self.say(messages.encode(message), to)
 
     def heard(self, now: float, who: int, data: bytes) -> None:
-        """Raises ForeignError for what is no word, or comes from no member."""
+        """Raises ForeignError for what is no message, or comes from no member."""
         try:
-            self.take_in(now, who, words.decode(data))
+            self.take_in(now, who, messages.decode(data))
         except BrokenError as broken:
             self.mend(now, broken)
 
-    def take_in(self, now: float, who: int, word: words.Any) -> None:
+    def take_in(self, now: float, who: int, message: messages.Any) -> None:
         if not 0 <= who < self.members or who == self.number:
             raise ForeignError(f"from no other member: {who}", "fleet")
         member = self.others.setdefault(who, Member())
-        if word.incarnation < member.incarnation:
-            self.send(words.Older(self.incarnation, member.incarnation), who)
+        if message.incarnation < member.incarnation:
+            self.send(messages.StaleIncarnation(self.incarnation, member.incarnation), who)
             return  # late, by a start that is over; or its clock was set back
-        if word.incarnation > member.incarnation:
+        if message.incarnation > member.incarnation:
             older = (*member.older, member.incarnation)[-MOST_OLDER:] if member.incarnation else ()
-            member.incarnation, member.older, member.asked = word.incarnation, older, 0
-        if isinstance(word, words.Ask):
+            member.incarnation, member.older, member.asked = message.incarnation, older, 0
+        if isinstance(message, messages.LeaseRequest):
             member.at = now
             for editions in self.editions.values():
                 editions.heard_at[who] = now
-            self.heard_ask(now, who, word)
-        elif isinstance(word, words.Beat):
-            self.office.heard_beat(now, who, word)
-            if word.serves and self.follows(who, word.incarnation):
-                self.covered = Coverage(word.heard, self.members, word.oldest / MS)
+            self.heard_ask(now, who, message)
+        elif isinstance(message, messages.Heartbeat):
+            self.office.heard_beat(now, who, message)
+            if message.serves and self.follows(who, message.incarnation):
+                self.covered = Coverage(message.reachable, self.members, message.oldest / MS)
                 self.covered_at = now
-        elif isinstance(word, words.Grant):
-            self.heard_grant(now, who, word)
-        elif isinstance(word, words.Older):
-            # Danger: a late word of a start that is over is answered so as well; one that lies could say so.
-            if word.known > self.incarnation and self.follows(who, word.incarnation):
-                self.begin_anew(now, word.known)
-        elif isinstance(word, words.Counts):
-            self.counts.told(who, word.incarnation, word.counts)
-        elif isinstance(word, Agreeing):
-            self.heard_editions(now, who, word)
-        elif isinstance(word, words.Tried):
-            self.judgements.said(now, who, word.found_good, word.found_bad, word.tried, word.bad)
-        elif self.follows(who, word.incarnation) and self.office.serves:
-            if isinstance(word, words.Sums):
-                self.counts.summed({count.key: count.totals for count in word.counts})
-            elif isinstance(word, words.Verdicts):
-                self.judgements.heard(now, word.servers)
-
-    def heard_editions(self, now: float, who: int, word: words.Any) -> None:
-        if isinstance(word, words.Need | words.Piece):
+        elif isinstance(message, messages.LeaseGrant):
+            self.heard_grant(now, who, message)
+        elif isinstance(message, messages.StaleIncarnation):
+            # An answer to a late message of an earlier start, or a forged one, must not restart this member.
+            if message.known > self.incarnation and self.follows(who, message.incarnation):
+                self.begin_anew(now, message.known)
+        elif isinstance(message, messages.CountReport):
+            self.counts.told(who, message.incarnation, message.counts)
+        elif isinstance(message, Agreeing):
+            self.heard_editions(now, who, message)
+        elif isinstance(message, messages.ServerObservations):
+            self.judgements.said(
+                now, who, message.healthy, message.failing, message.tried_total, message.failing_total
+            )
+        elif self.follows(who, message.incarnation) and self.office.serves:
+            if isinstance(message, messages.Aggregates):
+                self.counts.summed({count.key: count.totals for count in message.counts})
+            elif isinstance(message, messages.Ejections):
+                self.judgements.heard(now, message.servers)
+
+    def heard_editions(self, now: float, who: int, message: messages.Any) -> None:
+        if isinstance(message, messages.ChunkRequest | messages.Chunk):
             for editions in self.editions.values():
-                if isinstance(word, words.Need):
-                    editions.needed(who, word)
+                if isinstance(message, messages.ChunkRequest):
+                    editions.needed(who, message)
                 else:
-                    editions.came(now, word)
+                    editions.came(now, message)
             return
-        of = self.editions.get(getattr(word, "kind", -1))
+        of = self.editions.get(getattr(message, "kind", -1))
         if of is None:
             return
-        if isinstance(word, words.Edition):
-            if self.follows(who, word.incarnation) and self.office.serves:
-                of.told(now, who, word)
+        if isinstance(message, messages.VersionAnnouncement):
+            if self.follows(who, message.incarnation) and self.office.serves:
+                of.told(now, who, message)
             elif not of.knows:
-                of.learn(who, word)
-        elif isinstance(word, words.Holds):
-            of.reported(now, who, word)
-        elif isinstance(word, words.Vote):
-            of.voted(now, who, word)
-        elif isinstance(word, words.Offer):
-            of.offered(now, who, word)
-        elif isinstance(word, words.Answer) and self.follows(who, word.incarnation):
-            of.answered(word)
+                of.learn(who, message)
+        elif isinstance(message, messages.VersionReport):
+            of.reported(now, who, message)
+        elif isinstance(message, messages.Vote):
+            of.voted(now, who, message)
+        elif isinstance(message, messages.PublishRequest):
+            of.offered(now, who, message)
+        elif isinstance(message, messages.PublishResponse) and self.follows(who, message.incarnation):
+            of.answered(message)
 
     def follows(self, who: int, incarnation: int) -> bool:
         return (who, incarnation) == (self.office.lender, self.office.lender_incarnation)
 
-    def heard_ask(self, now: float, who: int, ask: words.Ask) -> None:
+    def heard_ask(self, now: float, who: int, ask: messages.LeaseRequest) -> None:
         own = who == self.number
         member = self.others.get(who) or Member(self.incarnation)
-        if ask.to != self.incarnation or (not own and ask.number <= member.asked):
+        if ask.recipient != self.incarnation or (not own and ask.sequence <= member.asked):
             return  # Danger: late or repeated, it says what its process had, not what it has.
-        member.asked = ask.number
+        member.asked = ask.sequence
         if ask.supports:
-            self.office.supported(now, who, ask.beat, ask.term)
+            self.office.supported(now, who, ask.heartbeat, ask.term)
         if not self.office.in_office(now):
             return
         self.serve(now)
-        if not self.office.fresh(ask.beat):
+        if not self.office.fresh(ask.heartbeat):
             return  # Danger: sent before, it may say of a loan that the one before has lent to another since.
         borrower: Borrower = who, ask.incarnation
         older = [(who, incarnation) for incarnation in member.older]
         try:
             loans = [
-                words.Loan(
-                    p.budget, self.ledgers[p.budget].asked(now, borrower, ask.age / MS, p.has, p.wants, older)
+                messages.Lease(
+                    p.budget,
+                    self.ledgers[p.budget].asked(now, borrower, ask.age / MS, p.held, p.wanted, older),
                 )
-                for p in ask.purses
+                for p in ask.allocations
                 if p.budget in self.ledgers
             ]
         except BrokenError as broken:
             self.mend(now, broken)
             return
-        grant = words.Grant(self.incarnation, ask.incarnation, ask.number, loans)
+        grant = messages.LeaseGrant(self.incarnation, ask.incarnation, ask.sequence, loans)
         if own:
             self.heard_grant(now, who, grant)
         else:
             self.send(grant, who)
 
-    def heard_grant(self, now: float, who: int, grant: words.Grant) -> None:
-        asked = grant.to == self.incarnation and grant.asked == self.asked and self.unanswered
+    def heard_grant(self, now: float, who: int, grant: messages.LeaseGrant) -> None:
+        asked = grant.recipient == self.incarnation and grant.request == self.asked and self.unanswered
         if not asked or not self.follows(who, grant.incarnation):
             return  # Danger: the lender counts on what this process said last; an older answer is void.
         self.answered_at, self.unanswered = now, 0
         self.ask_at = self.asked_at + TELL * self.rng.uniform(0.9, 1.0)
-        for loan in grant.loans:
+        for loan in grant.leases:
             if loan.budget in self.by_tag:
                 self.by_tag[loan.budget].granted(self.asked_at, loan.amount)
 
--- a/brambleplank/fleet/leader_election.py
+++ b/brambleplank/fleet/leader_election.py
@@ -11,7 +11,7 @@
 
 from random import Random
 
-from brambleplank.fleet.words import Beat
+from brambleplank.fleet.messages import Heartbeat
 
 TELL = 1.0  # seconds between two beats, and between two askings
 LEASE = 4.0  # seconds that a promise, or a loan, holds
@@ -62,7 +62,7 @@
         """Whether who names this beat spoke since this process has been in office without a gap."""
         return self.since is not None and self.sent.get(beat, float("-inf")) >= self.since
 
-    def heard_beat(self, now: float, who: int, beat: Beat) -> None:
+    def heard_beat(self, now: float, who: int, beat: Heartbeat) -> None:
         self.see(beat.term)
         if who == self.number:
             return
--- a/brambleplank/platform/run.py
+++ b/brambleplank/platform/run.py
@@ -46,8 +46,8 @@
 
     def share(self, told: start.Told) -> None:
         """What only this needs is imported only here."""
+        from brambleplank.fleet.messages import FORMAT
         from brambleplank.fleet.routing import TableError
-        from brambleplank.fleet.words import FORM
         from brambleplank.net.fleet import Sharing
 
         proxy, peers = self.proxy, self.proxy.peers
@@ -69,7 +69,7 @@
             raise UnfitError(f"fleet.routes: {told.fleet.routes}: {error.strerror}") from None
         except TableError as error:
             raise UnfitError(f"fleet.routes: {told.fleet.routes}: {error}") from None
-        peers.further[FORM] = lambda data, who: sharing.heard(data, who - first)
+        peers.further[FORMAT] = lambda data, who: sharing.heard(data, who - first)
 
     def let_speak(self, told: start.Told) -> bool:
         """What other proxies may hear, and this one of them; True where that begins anew."""
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -15,7 +15,7 @@
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule, run_state_machine_as_test
 
 from benchmarks.world import World, duel, rough
-from brambleplank.fleet import budgets, counts, fleet, leader_election, words
+from brambleplank.fleet import budgets, counts, fleet, leader_election, messages
 from brambleplank.fleet.budgets import Budget, Spent
 from brambleplank.fleet.counts import SERVED, Counts, merged
 from brambleplank.fleet.errors import BrokenError, ForeignError
@@ -152,10 +152,10 @@
     "an old answer lends": (
         fleet.Fleet,
         "heard_grant",
-        "grant.asked == self.asked and self.unanswered",
+        "grant.request == self.asked and self.unanswered",
         "True",
     ),
-    "a late asking counts": (fleet.Fleet, "heard_ask", "ask.number <= member.asked", "False"),
+    "a late asking counts": (fleet.Fleet, "heard_ask", "ask.sequence <= member.asked", "False"),
     "a start promises at once": (leader_election.LeaderElection, "__init__", "now + LEASE * LONGER", "now"),
     "a promise counts from its arrival": (
         leader_election.LeaderElection,
@@ -257,7 +257,7 @@
 
 @given(st.randoms(use_true_random=False))
 def test_sums_never_fall_and_count_each_event_once_over_starts_lost_and_repeated_words(rng: Any) -> None:
-    office_counts, told, truth = Counts(), list[tuple[int, int, list[words.Count]]](), 0
+    office_counts, told, truth = Counts(), list[tuple[int, int, list[messages.Count]]](), 0
     lives = {who: (1, Counts()) for who in range(3)}
     sums = [0]
     for _ in range(60):
@@ -295,7 +295,7 @@
     world = World(2, [Budget("rate", 10, 1.0, 2)], 1)
     node = world.nodes[0]
     assert node.fleet
-    for datagram in (data, bytes([words.FORM]) + data):
+    for datagram in (data, bytes([messages.FORMAT]) + data):
         try:
             node.fleet.heard(0.0, 1, datagram)
         except ForeignError as error:
@@ -363,7 +363,7 @@
     for node in world.nodes:
         assert node.fleet and sum(t[SERVED] for t in node.fleet.counts.fleet.values()) == 150
         assert node.fleet.coverage(world.clock(node)).heard == 5
-    assert max(sizes) <= words.LONGEST
+    assert max(sizes) <= messages.MAX_DATAGRAM
 
 
 def test_a_start_whose_clock_was_set_back_is_told_so_and_is_heard_again() -> None:
--- a/tests/test_fleet_processes.py
+++ b/tests/test_fleet_processes.py
@@ -15,7 +15,7 @@
 
 import pytest
 
-from brambleplank.fleet import words
+from brambleplank.fleet import messages
 from brambleplank.fleet.budgets import Budget
 from brambleplank.fleet.retirement import place
 from brambleplank.fleet.shapes import BudgetTable
@@ -208,19 +208,19 @@
 
     def lie(n: int) -> None:
         for word in (
-            words.Beat(late, 99, n, True, 4, 0),
-            words.Grant(late, 0, n, [words.Loan(1, 2**40)]),
-            words.Verdicts(late, list(range(40))),
-            words.Older(late, 2**52),
-            words.Ask(late, n, 0, 1, True, 10**9, 99, [words.Purse(1, 2**40, 2**40)]),
-            words.Tried(late, [], list(range(40)), 40, 40),
-            words.Edition(late, 0, n, 99, 2**50, 7, 0, 0),
-            words.Piece(late, 7, 0, 1, b"junk"),
-            words.Answer(late, 0, 7, 0, "no"),
-            words.Holds(late, 0, 2**50, 7, 2**50, 99, 8, True),
+            messages.Heartbeat(late, 99, n, True, 4, 0),
+            messages.LeaseGrant(late, 0, n, [messages.Lease(1, 2**40)]),
+            messages.Ejections(late, list(range(40))),
+            messages.StaleIncarnation(late, 2**52),
+            messages.LeaseRequest(late, n, 0, 1, True, 10**9, 99, [messages.Allocation(1, 2**40, 2**40)]),
+            messages.ServerObservations(late, [], list(range(40)), 40, 40),
+            messages.VersionAnnouncement(late, 0, n, 99, 2**50, 7, 0, 0),
+            messages.Chunk(late, 7, 0, 1, b"junk"),
+            messages.PublishResponse(late, 0, 7, 0, "no"),
+            messages.VersionReport(late, 0, 2**50, 7, 2**50, 99, 8, True),
         ):
             for receiver in range(3):
-                fleet.relay.say(3, receiver, words.encode(word))
+                fleet.relay.say(3, receiver, messages.encode(word))
         for garbage in (b"\x02", b"\x02\x93\x01\x01", b"\x02" + b"\xff" * 300, b"\x07junk", b"s0 nan"):
             for receiver in range(3):
                 fleet.relay.say(3, receiver, garbage)
--- a/tests/test_routes.py
+++ b/tests/test_routes.py
@@ -13,7 +13,7 @@
 from hypothesis import strategies as st
 
 from benchmarks.world import Node, World, rough
-from brambleplank.fleet import editions, routes, words
+from brambleplank.fleet import editions, messages, routes
 from brambleplank.fleet.editions import Editions, digest_of
 from brambleplank.fleet.errors import BrokenError
 from brambleplank.fleet.lint import Known, lint
@@ -274,13 +274,13 @@
     world.run(15)
     world.kill(world.nodes[4])
     world.start(world.nodes[4])
-    lie = words.Edition(2**50, 0, 0, 0, 2**50, digest_of(b"lie"), 0, 0)
+    lie = messages.VersionAnnouncement(2**50, 0, 0, 0, 2**50, digest_of(b"lie"), 0, 0)
     for _ in range(20):
         world.run(0.1)
         fleet = world.nodes[4].fleet
         assert fleet is not None
         fleet.editions[0].keep(b"lie")
-        fleet.heard(world.clock(world.nodes[4]), 3, words.encode(lie))
+        fleet.heard(world.clock(world.nodes[4]), 3, messages.encode(lie))
     world.run(10)
     assert world.digests() == {digest_of(b"file")}
 
