--- a/brambleplank/fleet/fleet.py
+++ b/brambleplank/fleet/fleet.py
@@ -14,16 +14,16 @@
 from brambleplank.fleet import invariants, messages
 from brambleplank.fleet.budgets import Account, Borrower, Budget, Ledger
 from brambleplank.fleet.counts import Counts, Coverage
-from brambleplank.fleet.editions import Editions
 from brambleplank.fleet.errors import BrokenError, ForeignError, UnlentError
 from brambleplank.fleet.judgements import Judgements
 from brambleplank.fleet.leader_election import LEASE, TELL, LeaderElection
+from brambleplank.fleet.versions import VersionAgreement
 
 SOONEST = 0.25  # seconds between two askings, where one is refused for want of a loan
 MOST_OLDER = 4  # earlier starts of a process that are remembered
 MS = 1000
 
-Agreeing = (
+AgreementMessage = (
     messages.VersionReport
     | messages.VersionAnnouncement
     | messages.ChunkRequest
@@ -72,7 +72,7 @@
         self.serving = False  # in office, as last looked
         self.counts, self.judgements = Counts(), Judgements()
         self.others: dict[int, Member] = {}
-        self.editions: dict[int, Editions] = {}  # by their kinds
+        self.agreements: dict[int, VersionAgreement] = {}  # by the kind of text
         self.asked = 0  # the number of this process's newest asking
         self.asked_at, self.answered_at = now, float("-inf")
         self.unanswered = 0
@@ -144,8 +144,8 @@
                 )
             )
         self.serve(now)
-        for editions in self.editions.values():
-            editions.turn(now, self.office.lender)
+        for agreement in self.agreements.values():
+            agreement.turn(now, self.office.lender)
         wait = min(2 * TELL, TELL / 2 * 1.5 ** max(0, self.unanswered - 1)) if self.unanswered else TELL
         soon = self.refused and now >= self.asked_at + SOONEST * 1.5**self.unanswered
         if now >= self.ask_at or soon:
@@ -163,12 +163,12 @@
         if serving and not self.serving:
             for ledger in self.ledgers.values():
                 ledger.open(now)
-            for editions in self.editions.values():
-                editions.open(now, self.office.term)
+            for agreement in self.agreements.values():
+                agreement.become_leader(now, self.office.term)
             self.log(f"fleet: in office, term {self.office.term}")
         elif self.serving and not serving:
-            for editions in self.editions.values():
-                editions.close()
+            for agreement in self.agreements.values():
+                agreement.step_down()
             self.log("fleet: out of office: no majority is heard")
         self.serving = serving
 
@@ -198,8 +198,8 @@
     def tell(self, now: float) -> None:
         """Counts, tries, and what they come to."""
         in_office, lender = self.office.in_office(now), self.office.lender
-        for editions in self.editions.values():
-            editions.tell(now, lender)
+        for agreement in self.agreements.values():
+            agreement.report(now, lender)
         good, bad = self.judgements.opinions(now)
         if self.office.stands:
             self.counts.told(self.number, self.incarnation, self.counts.to_tell())
@@ -259,7 +259,7 @@
 
     def grown(self) -> dict[str, int]:
         """What never falls while this process runs."""
-        found = {f"edition of {each.name}": each.edition for each in self.editions.values()}
+        found = {f"edition of {each.name}": each.version for each in self.agreements.values()}
         found["counts"] = sum(map(sum, self.counts.fleet.values()))
         for grows in self.grows:
             found.update(grows())
@@ -297,8 +297,8 @@
             member.incarnation, member.older, member.asked = message.incarnation, older, 0
         if isinstance(message, messages.LeaseRequest):
             member.at = now
-            for editions in self.editions.values():
-                editions.heard_at[who] = now
+            for agreement in self.agreements.values():
+                agreement.heard_at[who] = now
             self.heard_ask(now, who, message)
         elif isinstance(message, messages.Heartbeat):
             self.office.heard_beat(now, who, message)
@@ -313,8 +313,8 @@
                 self.begin_anew(now, message.known)
         elif isinstance(message, messages.CountReport):
             self.counts.told(who, message.incarnation, message.counts)
-        elif isinstance(message, Agreeing):
-            self.heard_editions(now, who, message)
+        elif isinstance(message, AgreementMessage):
+            self.receive_agreement(now, who, message)
         elif isinstance(message, messages.ServerObservations):
             self.judgements.said(
                 now, who, message.healthy, message.failing, message.tried_total, message.failing_total
@@ -325,30 +325,30 @@
             elif isinstance(message, messages.Ejections):
                 self.judgements.heard(now, message.servers)
 
-    def heard_editions(self, now: float, who: int, message: messages.Any) -> None:
+    def receive_agreement(self, now: float, who: int, message: messages.Any) -> None:
         if isinstance(message, messages.ChunkRequest | messages.Chunk):
-            for editions in self.editions.values():
+            for each in self.agreements.values():
                 if isinstance(message, messages.ChunkRequest):
-                    editions.needed(who, message)
+                    each.send_chunks(who, message)
                 else:
-                    editions.came(now, message)
+                    each.receive_chunk(now, message)
             return
-        of = self.editions.get(getattr(message, "kind", -1))
-        if of is None:
+        agreement = self.agreements.get(getattr(message, "kind", -1))
+        if agreement is None:
             return
         if isinstance(message, messages.VersionAnnouncement):
             if self.follows(who, message.incarnation) and self.office.serves:
-                of.told(now, who, message)
-            elif not of.knows:
-                of.learn(who, message)
+                agreement.receive_announcement(now, who, message)
+            elif not agreement.is_current:
+                agreement.learn_at_start(who, message)
         elif isinstance(message, messages.VersionReport):
-            of.reported(now, who, message)
+            agreement.receive_report(now, who, message)
         elif isinstance(message, messages.Vote):
-            of.voted(now, who, message)
+            agreement.receive_vote(now, who, message)
         elif isinstance(message, messages.PublishRequest):
-            of.offered(now, who, message)
+            agreement.receive_publish_request(now, who, message)
         elif isinstance(message, messages.PublishResponse) and self.follows(who, message.incarnation):
-            of.answered(message)
+            agreement.receive_publish_response(message)
 
     def follows(self, who: int, incarnation: int) -> bool:
         return (who, incarnation) == (self.office.lender, self.office.lender_incarnation)
--- a/brambleplank/fleet/invariants.py
+++ b/brambleplank/fleet/invariants.py
@@ -32,7 +32,7 @@
 
 
 def check_grows(before: Mapping[str, int], now: Mapping[str, int]) -> None:
-    """Of editions, counts and steps of retirements, by name. Raises BrokenError where one has fallen."""
+    """Of versions, counts and steps of retirements, by name. Raises BrokenError where one has fallen."""
     for name, value in now.items():
         if value < before.get(name, value):
             raise BrokenError(f"{value} after {before[name]}", f"fleet {name}")
--- a/brambleplank/fleet/retirement.py
+++ b/brambleplank/fleet/retirement.py
@@ -2,7 +2,7 @@
 I/O.
 
 A service type, or one version of it, is announced, warned about, tried out in announced pauses, shed by a
-growing share, and ended. The steps are a list in order of their dates; how far the fleet is, is an edition of
+growing share, and ended. The steps are a list in order of their dates; how far the fleet is, is a version of
 its own (`retiring.py`), not a clock of anyone's.
 """
 
--- a/brambleplank/fleet/retiring.py
+++ b/brambleplank/fleet/retiring.py
@@ -15,7 +15,6 @@
 import msgspec
 
 from brambleplank.fleet.counts import OFFERED, REFUSED, SERVED, SHED, Totals, key_of
-from brambleplank.fleet.editions import Editions
 from brambleplank.fleet.fleet import Fleet
 from brambleplank.fleet.leader_election import LEASE, TELL
 from brambleplank.fleet.retirement import (
@@ -29,6 +28,7 @@
     steps_of,
 )
 from brambleplank.fleet.routing import Routing
+from brambleplank.fleet.versions import VersionAgreement
 
 KIND = 1
 DWELL = 1 / 4  # of the time between two steps that the first lasts at least, whatever a clock says
@@ -74,14 +74,14 @@
         self.samples: deque[tuple[float, dict[str, Totals]]] = deque(maxlen=SAMPLES + 1)
         self.before: dict[str, tuple[float, int]] = {}  # refused share of the successor, callers' flows
         self.evidence_at: dict[str, float] = {}
-        self.editions = fleet.editions[KIND] = Editions(
+        self.agreement = fleet.agreements[KIND] = VersionAgreement(
             KIND,
             fleet.number,
             fleet.members,
             fleet.incarnation,
             fleet.send,
             self.judge,
-            self.take_up,
+            self.apply,
             log,
             "retirements",
             fleet.rng,
@@ -132,7 +132,7 @@
             count += 1
         return count
 
-    # What the editions ask.
+    # Called by the agreement.
 
     def judge(self, digest: int, text: bytes, done: Callable[[str], None]) -> None:
         """Danger: one clock that has jumped would shed callers a month early."""
@@ -147,7 +147,11 @@
             if told is None or place.step == at:
                 continue
             steps = self.steps_of(told)
-            if place.step < at or place.step >= len(steps) or (place.step > at + 1 and self.editions.knows):
+            if (
+                place.step < at
+                or place.step >= len(steps)
+                or (place.step > at + 1 and self.agreement.is_current)
+            ):
                 done(f"{place.name}: step {place.step} after {at}")
                 return
             if steps[place.step].due > self.wall() + EARLY:
@@ -155,8 +159,8 @@
                 return
         done("")
 
-    def take_up(self, number: int, digest: int) -> None:
-        places = {place.name: place for place in PLACES.decode(self.editions.text(digest))}
+    def apply(self, number: int, digest: int) -> None:
+        places = {place.name: place for place in PLACES.decode(self.agreement.text(digest))}
         for name, place in places.items():
             old, told = self.places.get(name), self.routing.table.retirements.get(name)
             if old is None or old.step != place.step:
@@ -175,8 +179,8 @@
 
     def turn(self, now: float) -> None:
         self.now = now
-        editions = self.editions
-        if editions.open_at is None or not editions.recovered or editions.proposal is not None:
+        agreement = self.agreement
+        if agreement.leader_since is None or not agreement.recovered or agreement.proposal is not None:
             return
         if not self.samples or now >= self.samples[-1][0] + MINUTE / SAMPLES:
             known = self.fleet.counts.fleet
@@ -185,7 +189,7 @@
         wanted = [place for place in found if place is not None]
         if wanted != [*self.places.values()]:
             text = msgspec.json.encode(wanted)
-            editions.propose(now, editions.newest + 1, editions.keep(text), self.fleet.number)
+            agreement.propose(now, agreement.newest + 1, agreement.keep(text), self.fleet.number)
 
     def next(self, now: float, told: Retirement) -> Place | None:
         """Where a retirement should be: as it is, one step on, halted, or no longer halted."""
--- a/brambleplank/fleet/routing.py
+++ b/brambleplank/fleet/routing.py
@@ -1,4 +1,4 @@
-"""The route table in force at one process: its file, its lint, its editions. Free of I/O.
+"""The route table in force at one process: its file, its lint, its versions. Free of I/O.
 
 `work` runs a function that takes long (a table of thousands is read in a second) and tells its result; the
 carrier does so in a thread.
@@ -11,14 +11,14 @@
 
 from brambleplank.fleet import routes
 from brambleplank.fleet.counts import OFFERED
-from brambleplank.fleet.editions import Editions, digest_of
 from brambleplank.fleet.errors import FleetError
 from brambleplank.fleet.fleet import Fleet
 from brambleplank.fleet.leader_election import TELL
 from brambleplank.fleet.lint import Finding, Known, lint
+from brambleplank.fleet.versions import VersionAgreement, digest_of
 
 KIND = 0
-ASKS_FOR = 3 * TELL  # seconds that a start asks the others which edition is in force
+ASKS_FOR = 3 * TELL  # seconds that a start asks the others which version is in force
 KEPT = 4
 MOST_LINES = 8  # findings that are logged one by one
 
@@ -47,25 +47,25 @@
         self.table = table
         self.began = fleet.began
         self.tables: dict[int, routes.Table] = {}  # made ready, by the digests of their texts
-        self.by_file = False  # whether nobody said which edition is in force
-        self.editions = fleet.editions[KIND] = Editions(
+        self.by_file = False  # whether no member said which version is in force
+        self.agreement = fleet.agreements[KIND] = VersionAgreement(
             KIND,
             fleet.number,
             fleet.members,
             fleet.incarnation,
             fleet.send,
             self.judge,
-            self.take_up,
+            self.apply,
             log,
             "routes",
             fleet.rng,
         )
-        self.editions.begin_with(text)
+        self.agreement.begin_with(text)
         work(lambda: lint(table, self.known(False)), self.say)
 
     def ready(self, now: float) -> bool:
         """Whether flows may be taken. Danger: to wait for ever would cost more than an old file does."""
-        if self.editions.edition or self.by_file:
+        if self.agreement.version or self.by_file:
             return True
         if now >= self.began + ASKS_FOR:
             self.by_file = True
@@ -84,7 +84,7 @@
     def offer(self, now: float, text: bytes) -> None:
         """The file is another one now: it is offered to the fleet, unless something is wrong with it."""
         digest = digest_of(text)
-        if digest == self.editions.digest:
+        if digest == self.agreement.digest:
             return
         self.log("routes: the file is read and linted")
 
@@ -96,7 +96,7 @@
                 self.log("routes: not published; the table in force stays")
             else:
                 self.keep(digest, table)
-                self.editions.publish(now, text, self.fleet.office.lender)
+                self.agreement.publish(now, text, self.fleet.office.lender)
 
         self.work(lambda: self.read(text, True), done)
 
@@ -109,9 +109,9 @@
     def keep(self, digest: int, table: routes.Table) -> None:
         self.tables[digest] = table
         while len(self.tables) > KEPT:
-            del self.tables[next(d for d in self.tables if d not in (digest, self.editions.digest))]
+            del self.tables[next(d for d in self.tables if d not in (digest, self.agreement.digest))]
 
-    # What the editions ask.
+    # Called by the agreement.
 
     def judge(self, digest: int, text: bytes, done: Callable[[str], None]) -> None:
         def read(result: Read) -> None:
@@ -123,7 +123,7 @@
 
         self.work(lambda: self.read(text, False), read)
 
-    def take_up(self, number: int, digest: int) -> None:
+    def apply(self, number: int, digest: int) -> None:
         table = self.tables.get(digest)
         if table is None:
             self.log(f"routes: edition {number} cannot be read here; the table before stays in use")
--- a/tests/processes.py
+++ b/tests/processes.py
@@ -25,8 +25,8 @@
 leader_election.TELL, leader_election.LEASE = 0.25, 1.0
 from brambleplank.fleet import budgets
 budgets.CONNECTIONS_GO = 2.0
-from brambleplank.fleet import editions
-editions.HEARS_ALL = 3.0
+from brambleplank.fleet import versions
+versions.VOTE_WAIT = 3.0
 from brambleplank.fleet import retiring
 retiring.QUIET, retiring.STORM = 2.0, 1e9
 """
--- a/tests/test_routes.py
+++ b/tests/test_routes.py
@@ -13,10 +13,10 @@
 from hypothesis import strategies as st
 
 from benchmarks.world import Node, World, rough
-from brambleplank.fleet import editions, messages, routes
-from brambleplank.fleet.editions import Editions, digest_of
+from brambleplank.fleet import messages, routes, versions
 from brambleplank.fleet.errors import BrokenError
 from brambleplank.fleet.lint import Known, lint
+from brambleplank.fleet.versions import VersionAgreement, digest_of
 
 TYPES, CUSTOMERS, VERSIONS = ["a", "b"], ["x", "y"], ["v1", "v2"]
 KEYS = range(9)  # rules name 0 to 7
@@ -176,7 +176,7 @@
                 raise BrokenError(f"edition {number} is two texts", "editions")
             self.history[node.number].append((node.life, number))
 
-        made = fleet.editions[0] = Editions(
+        made = fleet.agreements[0] = VersionAgreement(
             0,
             node.number,
             len(self.nodes),
@@ -190,18 +190,18 @@
         )
         made.begin_with(self.files(node.number))
 
-    def editions(self, n: int) -> Editions:
+    def agreement(self, n: int) -> VersionAgreement:
         fleet = self.nodes[n].fleet
         assert fleet is not None
-        return fleet.editions[0]
+        return fleet.agreements[0]
 
     def publish(self, n: int, text: bytes) -> None:
         fleet = self.nodes[n].fleet
         assert fleet is not None
-        self.editions(n).publish(self.clock(self.nodes[n]), text, fleet.office.lender)
+        self.agreement(n).publish(self.clock(self.nodes[n]), text, fleet.office.lender)
 
     def digests(self) -> set[int]:
-        return {self.editions(node.number).digest for node in self.nodes if node.fleet}
+        return {self.agreement(node.number).digest for node in self.nodes if node.fleet}
 
 
 def test_a_text_of_many_pieces_comes_into_force_everywhere_over_lossy_links() -> None:
@@ -254,11 +254,11 @@
     world.run(15)
     world.cut({0, 1}, {2, 3, 4})
     world.run(25)
-    before = world.editions(0).digest
+    before = world.agreement(0).digest
     world.publish(3, b"new")
     world.publish(0, b"from the minority")
     world.run(15)
-    assert [world.editions(n).digest for n in range(5)] == [before] * 2 + [digest_of(b"new")] * 3
+    assert [world.agreement(n).digest for n in range(5)] == [before] * 2 + [digest_of(b"new")] * 3
     world.links.cut.clear()
     world.run(25)
     assert world.digests() == {digest_of(b"new")}
@@ -279,7 +279,7 @@
         world.run(0.1)
         fleet = world.nodes[4].fleet
         assert fleet is not None
-        fleet.editions[0].keep(b"lie")
+        fleet.agreements[0].keep(b"lie")
         fleet.heard(world.clock(world.nodes[4]), 3, messages.encode(lie))
     world.run(10)
     assert world.digests() == {digest_of(b"file")}
@@ -327,7 +327,7 @@
 
 def test_what_a_majority_agreed_to_being_forgotten_is_caught(monkeypatch: pytest.MonkeyPatch) -> None:
     """The faults: a new office asks nobody; members give up what they agreed to at any office's word."""
-    monkeypatch.setattr(Editions, "recover", lambda self, now: setattr(self, "recovered", True))
+    monkeypatch.setattr(VersionAgreement, "recover", lambda self, now: setattr(self, "recovered", True))
     with pytest.raises(BrokenError):
         for seed in range(60):
             agree(seed)
@@ -337,4 +337,4 @@
     for seed in range(6):
         world = Agreeing(3, seed)
         rough(world, 30, Random(seed))
-    assert editions.GIVES_UP > editions.HEARS_ALL
+    assert versions.PROPOSAL_TIMEOUT > versions.VOTE_WAIT
