Name budgets by leases: leased, outstanding, begin_term, renew, partitioned, has_lease

A loan is a lease, what may be in use is outstanding, and a process without an answer for a lease is partitioned, in place of in the dark. Log lines and the key's description stay, since docs/sharing.md names them. Tests that put a fault into these functions by their text follow the names.

--- a/benchmarks/world.py
+++ b/benchmarks/world.py
@@ -196,7 +196,7 @@
     def give_back(self, node: Node, name: str) -> None:
         if node.fleet is not None and self.runs(node) and node.held[name]:
             node.held[name] -= 1
-            node.fleet.account(name).give_back()
+            node.fleet.account(name).release()
 
     def judge_office(self) -> None:
         found = [n.number for n in self.nodes if self.runs(n) and self.in_office(n)]
--- a/brambleplank/fleet/admission.py
+++ b/brambleplank/fleet/admission.py
@@ -174,7 +174,7 @@
         if rejected:
             self.note(REFUSED, admitted)
         for account in admitted.held:
-            account.give_back()
+            account.release()
 
     def note(self, kind: int, admitted: Admitted) -> None:
         self.fleet.counts.note(kind, admitted.service_type, admitted.customer, admitted.version)
--- a/brambleplank/fleet/fleet.py
+++ b/brambleplank/fleet/fleet.py
@@ -19,7 +19,7 @@
 from brambleplank.fleet.leader_election import LEASE, TELL, LeaderElection
 from brambleplank.fleet.versions import VersionAgreement
 
-SOONEST = 0.25  # seconds between two askings, where one is refused for want of a loan
+SOONEST = 0.25  # seconds between two requests, where a unit was refused for lack of a lease
 MOST_OLDER = 4  # earlier starts of a process that are remembered
 MS = 1000
 
@@ -76,15 +76,15 @@
         self.asked = 0  # the number of this process's newest asking
         self.asked_at, self.answered_at = now, float("-inf")
         self.unanswered = 0
-        self.refused = False  # for want of a loan, since the last asking
+        self.refused = False  # for lack of a lease, since the last request
         self.ask_at = now + self.rng.uniform(0, TELL)
         self.tell_at = now + self.rng.uniform(0, TELL)
         self.covered, self.covered_at = Coverage(1, members, 0.0), now
         self.grows: list[Callable[[], dict[str, int]]] = []  # of its parts: what never falls, by name
         self.known: dict[str, int] = {}  # the same as last looked
         self.silent: set[int] = set()  # others, as last said in office
-        self.dark = False
-        self.dark_known = now + LEASE  # nothing is said of the dark before
+        self.partitioned = False
+        self.partition_known_from = now + LEASE  # a partition is not reported before
 
     # What the proxy asks.
 
@@ -108,15 +108,15 @@
         account.refused.add(now)
         self.refused = True
 
-    def lent(self, now: float) -> bool:
-        """Whether a lender has answered within a lease."""
+    def has_lease(self, now: float) -> bool:
+        """Whether the leader has answered within the length of a lease."""
         return now < self.answered_at + LEASE
 
     def coverage(self, now: float) -> Coverage:
         if self.office.in_office(now):
             ages = [now - m.at for m in self.others.values() if now < m.at + LEASE]
             return Coverage(1 + len(ages), self.members, max(ages, default=0.0))
-        if now >= self.covered_at + LEASE or self.dark:
+        if now >= self.covered_at + LEASE or self.partitioned:
             return Coverage(1, self.members, 0.0)
         return Coverage(self.covered.heard, self.members, self.covered.oldest + now - self.covered_at)
 
@@ -162,7 +162,7 @@
         serving = self.office.in_office(now)
         if serving and not self.serving:
             for ledger in self.ledgers.values():
-                ledger.open(now)
+                ledger.begin_term(now)
             for agreement in self.agreements.values():
                 agreement.become_leader(now, self.office.term)
             self.log(f"fleet: in office, term {self.office.term}")
@@ -180,6 +180,10 @@
         self.asked += 1
         self.asked_at, self.refused = now, False
         self.unanswered += 1
+        allocations = [
+            messages.Allocation(account.budget.tag, account.release_unused(now), account.wants(now))
+            for account in self.accounts.values()
+        ]
         ask = messages.LeaseRequest(
             self.incarnation,
             self.asked,
@@ -188,7 +192,7 @@
             supports,
             round(max(0.0, now - self.began) * MS),
             office.seen,
-            [messages.Allocation(a.budget.tag, a.binds(now), a.wants(now)) for a in self.accounts.values()],
+            allocations,
         )
         if office.lender == self.number:
             self.heard_ask(now, self.number, ask)
@@ -225,20 +229,20 @@
                 self.send(messages.Ejections(self.incarnation, judged))
 
     def look(self, now: float) -> None:
-        """Says when the dark begins and ends; in office, who is no longer heard."""
+        """Logs when a partition begins and ends; as the leader, which members are unreachable."""
         if self.serving:
             silent = {who for who, member in self.others.items() if now >= member.at + LEASE}
             for who in sorted(silent ^ self.silent):
                 self.log(f"fleet: {who} is {'no longer heard' if who in silent else 'heard again'}")
             self.silent = silent
-        dark = now >= max(self.answered_at + LEASE, self.dark_known)
-        if dark == self.dark:
+        partitioned = now >= max(self.answered_at + LEASE, self.partition_known_from)
+        if partitioned == self.partitioned:
             return
-        self.dark = dark
-        if dark:
-            by_right = ", ".join(f"{name} {a.allowance(now)}" for name, a in self.accounts.items())
+        self.partitioned = partitioned
+        if partitioned:
+            reserves = ", ".join(f"{name} {a.allowance(now)}" for name, a in self.accounts.items())
             self.log(
-                f"fleet: in the dark: nobody lends; budgets by right: {by_right or 'none'}; counts are own"
+                f"fleet: in the dark: nobody lends; budgets by right: {reserves or 'none'}; counts are own"
             )
         else:
             self.log(f"fleet: out of the dark: {self.coverage(now)}")
@@ -269,9 +273,9 @@
         self.log(f"fleet: {broken.whole()}")
         self.known = self.grown()  # once said is enough
         for account in self.accounts.values():
-            account.fall_back()
+            account.drop_lease()
         for ledger in self.ledgers.values():
-            ledger.open(now)
+            ledger.begin_term(now)
 
     # What others say.
 
@@ -365,14 +369,14 @@
             return
         self.serve(now)
         if not self.office.fresh(ask.heartbeat):
-            return  # Danger: sent before, it may say of a loan that the one before has lent to another since.
+            return  # Sent before this term, it may claim a lease that was granted to another since.
         borrower: Borrower = who, ask.incarnation
         older = [(who, incarnation) for incarnation in member.older]
         try:
-            loans = [
+            leases = [
                 messages.Lease(
                     p.budget,
-                    self.ledgers[p.budget].asked(now, borrower, ask.age / MS, p.held, p.wanted, older),
+                    self.ledgers[p.budget].renew(now, borrower, ask.age / MS, p.held, p.wanted, older),
                 )
                 for p in ask.allocations
                 if p.budget in self.ledgers
@@ -380,7 +384,7 @@
         except BrokenError as broken:
             self.mend(now, broken)
             return
-        grant = messages.LeaseGrant(self.incarnation, ask.incarnation, ask.sequence, loans)
+        grant = messages.LeaseGrant(self.incarnation, ask.incarnation, ask.sequence, leases)
         if own:
             self.heard_grant(now, who, grant)
         else:
@@ -392,9 +396,9 @@
             return  # Danger: the lender counts on what this process said last; an older answer is void.
         self.answered_at, self.unanswered = now, 0
         self.ask_at = self.asked_at + TELL * self.rng.uniform(0.9, 1.0)
-        for loan in grant.leases:
-            if loan.budget in self.by_tag:
-                self.by_tag[loan.budget].granted(self.asked_at, loan.amount)
+        for lease in grant.leases:
+            if lease.budget in self.by_tag:
+                self.by_tag[lease.budget].receive_lease(self.asked_at, lease.amount)
 
     def begin_anew(self, now: float, known: int) -> None:
         """A start of this process with a higher number was heard of: nothing it said was taken up."""
--- a/brambleplank/fleet/invariants.py
+++ b/brambleplank/fleet/invariants.py
@@ -1,7 +1,7 @@
 """What always holds within one process, as code: the tests ask it at each step, service where a setting says
 so.
 
-What holds over all processes together (no window, no instant over its budget; one in office at most) can only
+What holds over all processes together (no window, no instant over its budget; one leader at most) can only
 be judged from outside, in true time: `benchmarks/world.py` does.
 """
 
@@ -16,17 +16,17 @@
 
 
 def check(now: float, accounts: Sequence[Account], ledgers: Sequence[Ledger], covers: Coverage) -> None:
-    """Of what is spent, lent and said to be covered. Raises BrokenError, naming what does not hold."""
+    """Checks use, leases and coverage. Raises BrokenError, naming what does not hold."""
     for account in accounts:
         at, budget = f"fleet budget {account.budget.name}", account.budget
-        if not 0 <= account.lent <= budget.lendable:
-            raise BrokenError(f"{account.lent} are lent of {budget.lendable}", at)
-        if not 0 <= account.used(now) <= budget.lendable + account.reserve:
-            raise BrokenError(f"{account.used(now)} are used of {budget.lendable + account.reserve}", at)
+        if not 0 <= account.leased <= budget.leasable:
+            raise BrokenError(f"{account.leased} are lent of {budget.leasable}", at)
+        if not 0 <= account.used(now) <= budget.leasable + account.reserve:
+            raise BrokenError(f"{account.used(now)} are used of {budget.leasable + account.reserve}", at)
     for ledger in ledgers:
-        out, lendable = ledger.out(now), ledger.budget.lendable
-        if now >= ledger.unknown_until and out > lendable:
-            raise BrokenError(f"{out} units are out of {lendable}", f"fleet budget {ledger.budget.name}")
+        out, leasable = ledger.outstanding(now), ledger.budget.leasable
+        if now >= ledger.unknown_until and out > leasable:
+            raise BrokenError(f"{out} units are out of {leasable}", f"fleet budget {ledger.budget.name}")
     if not 1 <= covers.heard <= covers.members or covers.oldest < 0:
         raise BrokenError(f"coverage says {covers}", "fleet")
 
--- a/brambleplank/fleet/retiring.py
+++ b/brambleplank/fleet/retiring.py
@@ -3,8 +3,8 @@
 Who is in office moves a retirement on by one step at a time, once its date has come by its clock and the
 step before has lasted for a while; a majority must find so too by clocks of their own. It halts one by
 evidence, and lets it go on after a quiet time. Each process turns callers away by the steps in force alone,
-only while it is lent to: a halt that it cannot hear binds it at the end of its lease. Free of I/O; `wall`
-gives Unix seconds.
+only while it holds a lease: a halt that does not reach it binds it when its lease expires. Free of I/O;
+`wall` gives Unix seconds.
 """
 
 from __future__ import annotations
@@ -114,8 +114,8 @@
         step, place = self.step(told), self.places.get(told.name)
         if step is None or place is None or told.halted or not sheds(told, step, customer, caller):
             return False
-        if step.stage != ENDED and (place.halted or self.fleet.dark or not self.fleet.lent(now)):
-            return False  # Danger: in the dark a halt cannot be heard; callers are served until it can.
+        if step.stage != ENDED and (place.halted or self.fleet.partitioned or not self.fleet.has_lease(now)):
+            return False  # Partitioned, it would not receive a halt; callers are served until it can.
         return not told.ceiling or self.fleet.take(now, told.ceiling)
 
     def moves(self, now: float, told: Retirement, standing: int) -> int:
--- a/brambleplank/net/fleet.py
+++ b/brambleplank/net/fleet.py
@@ -116,7 +116,7 @@
             sorted(terms.service_types),
             sorted(terms.tenants),
             [table.name for table in self.told.table.budget if table.of in OF_FLOWS],
-            [b.name for b in budgets if not b.lendable],
+            [b.name for b in budgets if not b.leasable],
             seen(self.fleet),
             str(self.fleet.coverage(self.clock.now())),
             {name: CARE[kind.effect] for name, kind in terms.service_types.items()},
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -130,23 +130,28 @@
 FAULTS: dict[str, tuple[Any, str, str, str]] = {
     "a lender forgets what was spent within the window": (
         budgets.Ledger,
-        "ends",
+        "lease_end",
         "(LEASE + window)",
         "LEASE",
     ),
-    "what stands is lent again after its lease": (budgets.Ledger, "ends", "else inf", "else now + LEASE"),
-    "a new lender lends at once": (budgets.Ledger, "open", "self.ends(now)", "now"),
+    "what stands is lent again after its lease": (
+        budgets.Ledger,
+        "lease_end",
+        "else inf",
+        "else now + LEASE",
+    ),
+    "a new lender lends at once": (budgets.Ledger, "begin_term", "self.lease_end(now)", "now"),
     "who asks has more than it says": (
         budgets.Account,
-        "binds",
-        "self.lent = min(still, max(in_use, self.wants(now)))",
+        "release_unused",
+        "self.leased = min(still, max(in_use, self.wants(now)))",
         "pass",
     ),
     "a start has its whole reserve": (budgets.Account, "begin_anew", "now + self.budget.memory", "now"),
     "a loan never runs out": (
         budgets.Account,
-        "allowance binds",
-        "not self.budget.window or now < self.lent_until",
+        "allowance release_unused",
+        "not self.budget.window or now < self.leased_until",
         "True",
     ),
     "an old answer lends": (
@@ -243,7 +248,7 @@
         now += gap
         spent.add(now)
         times.append(now)
-        assert sum(t > now - window for t in times) <= spent.fade(now)
+        assert sum(t > now - window for t in times) <= spent.expire(now)
 
 
 totals = st.dictionaries(st.sampled_from("abc"), st.lists(st.integers(0, 9), min_size=5, max_size=5))
