Split platform/handover.py into modules with one job each

488 lines held eight jobs. Message kinds are constants; names are those of the field (hand off, adopt, report). Handover.give, take_on and tell_holds keep theirs, as tests replace them in running processes.

--- /dev/null
+++ b/brambleplank/platform/operator_relay.py
@@ -0,0 +1,54 @@
+"""Operators' calls, relayed between two processes of one proxy, so that either may be called."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterable
+from typing import Any
+
+from brambleplank.net.proxy import Proxy
+from brambleplank.platform import estate, upgrade_messages
+from brambleplank.platform.channel import Channel
+from brambleplank.platform.rotation_file import RotationFile
+from brambleplank.rotation import unlisted
+
+OUT, BACK, DRAIN, RESUME = "out", "back", "drain", "resume"
+
+
+class OperatorRelay:
+    """Tells the other process what operators called for here, and does here what they called for there."""
+
+    def __init__(self, proxy: Proxy, file: RotationFile) -> None:
+        self.proxy, self.file = proxy, file
+        self.source: Channel | None = None  # whose call is being carried out
+
+    def relay(self, call: str, server_id: str, channels: Iterable[Channel]) -> None:
+        """A call was carried out here: it is written to the file and sent to the other processes."""
+        if call in (OUT, BACK):
+            self.file.write(self.proxy.rotation)
+        for channel in channels:
+            if channel is not self.source:
+                channel.send({"say": upgrade_messages.WORD, "what": call, "server": server_id})
+
+    def receive(self, channel: Channel, message: dict[str, Any]) -> None:
+        """Carries out a call that came to the other process. Raises UnfitError."""
+        call, server_id = estate.texts([message.get("what"), message.get("server")], "word")
+        self.source = channel
+        try:
+            self.carry_out(call, server_id)
+        finally:
+            self.source = None
+
+    def carry_out(self, call: str, server_id: str) -> None:
+        """Calls of other names, by later versions, are ignored."""
+        proxy = self.proxy
+        if call in (OUT, BACK) and server_id not in proxy.rotation.listed:
+            # A server that is listed there and not here yet must be known, or the call would bind only one.
+            proxy.rotation.told([unlisted(server_id)], False)
+        calls: dict[str, Callable[[], object]] = {
+            OUT: lambda: proxy.take_out(server_id),
+            BACK: lambda: proxy.call_back(server_id),
+            DRAIN: proxy.drain,
+            RESUME: proxy.resume,
+        }
+        if call in calls:
+            calls[call]()
--- a/brambleplank/platform/run.py
+++ b/brambleplank/platform/run.py
@@ -145,7 +145,7 @@
 
         What only this needs is imported only here.
         """
-        from brambleplank.platform import handover
+        from brambleplank.platform import handover, socket_path, takeover
 
         tmp = os.environ.get("TMPDIR")
         wanted = {"listen": self.told.listen, "mgmt": mgmt}
@@ -153,7 +153,8 @@
             wanted["peer_listen"] = self.told.peer_listen
         taken = None
         if tmp:
-            taken = handover.ask(handover.place(tmp, self.told.listen, "sock"), wanted, self.proxy.log)
+            path = socket_path.place(tmp, self.told.listen, "sock")
+            taken = takeover.request(path, wanted, self.proxy.log)
         adopt = taken.adopt if taken else lambda key: None
         hears: Any = None
 
