--- a/brambleplank/fronts/line/connects.py
+++ b/brambleplank/fronts/line/connects.py
@@ -14,7 +14,8 @@
 from brambleplank.host import End
 from brambleplank.net.buffers import Dialer
 from brambleplank.net.loop import reactor
-from brambleplank.net.proxy import SILENT, Proxy
+from brambleplank.net.message_times import SILENT_AFTER
+from brambleplank.net.proxy import Proxy
 from brambleplank.seams import Client, Reach
 
 WAIT = re.compile(rb"(?<=[ ,])d=\d+")
@@ -188,7 +189,7 @@
         if self.up:
             self.client.transport.write(self.clearLineBuffer())  # a line that it left unfinished
             # Danger: a server closes on a line that it cannot read; that is the client's fault, not strain.
-            unread = self.asked and self.proxy.clock.now() < self.asked + SILENT
+            unread = self.asked and self.proxy.clock.now() < self.asked + SILENT_AFTER
             self.end(LAST_WORDS.get(self.last, End.ERROR if unread else End.RESET), not clean)
         else:
             self.end(End.RESET if self.written() else End.UNREACHABLE)
--- /dev/null
+++ b/brambleplank/net/emptying.py
@@ -0,0 +1,59 @@
+"""The end of a planned stop: waits until no client is left that could lose anything."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Collection
+
+from brambleplank.decide import Balancer
+from brambleplank.net.clock import Clock
+from brambleplank.net.door import Door
+from brambleplank.net.log import Log
+from brambleplank.seams import Client
+
+CHECK_INTERVAL = 0.1  # seconds
+LAST_ACCEPT = 0.5  # seconds after the call to stop in which clients may still connect
+LAST_READ = 0.5  # seconds after the end of a stop in which answers may still be read
+
+
+class Emptying:
+    """`emptied` is called once, when the proxy is empty."""
+
+    def __init__(
+        self,
+        clock: Clock,
+        log: Log,
+        balancer: Balancer,
+        door: Door,
+        clients: Collection[Client],
+        emptied: Callable[[], None],
+    ) -> None:
+        self.clock, self.log, self.balancer, self.door = clock, log, balancer, door
+        self.clients, self.emptied = clients, emptied
+
+    def begin(self, succeeded: bool) -> None:
+        """`succeeded`: another process of this proxy accepts the clients that still connect."""
+        self.clock.after_reads(CHECK_INTERVAL if succeeded else LAST_ACCEPT, self.check)
+
+    def check(self) -> None:
+        """Ends the stop, or checks again later.
+
+        Ended at once, it would cut off clients that have connected and not sent all of their request yet,
+        in the kernel too, and those that have not read their answer; nobody waits longer than for these.
+        """
+        now = self.clock.now()
+        if now >= self.balancer.stop_at:
+            for client in list(self.door.waiting):
+                client.show_out()
+        if self.is_empty(now):
+            self.log.say("stop: empty")
+            self.emptied()
+        else:
+            self.clock.after_reads(CHECK_INTERVAL, self.check)
+
+    def is_empty(self, now: float) -> bool:
+        door = self.door
+        connecting = door.waiting or any(listener.held for listener in door.listeners)
+        reading = door.leaving or door.shown_out
+        over = now >= self.balancer.stop_at
+        late = now >= self.balancer.stop_at + LAST_READ
+        return not (self.clients or (connecting and not over) or (reading and not late))
--- /dev/null
+++ b/brambleplank/net/message_times.py
@@ -0,0 +1,60 @@
+"""How long messages take at servers, as seen here: what the decisions are told of it."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+
+from brambleplank.decide import Balancer
+from brambleplank.host import Terms
+from brambleplank.net.clock import Clock
+from brambleplank.net.reach import Reach, reach_of
+from brambleplank.records import Server
+from brambleplank.seams import Client
+
+SWEEP_INTERVAL = 0.1  # seconds
+SILENT_AFTER = 1.0  # seconds after which a line without an answer is reported
+REPORT_INTERVAL = 1.0  # seconds between two reports of one server, at least
+
+
+class MessageTimes:
+    """Combines the delays of probes with the lines that wait for an answer."""
+
+    def __init__(self, clock: Clock, terms: Terms, balancer: Balancer, clients: Iterable[Client]) -> None:
+        self.clock, self.terms, self.balancer, self.clients = clock, terms, balancer, clients
+
+    def sweep(self) -> None:
+        """Reports connections that bring nothing back, and their servers; repeats itself."""
+        self.clock.later(SWEEP_INTERVAL, self.sweep)
+        now = self.clock.now()
+        longest = self.longest_waits(now)
+        for server in list(self.balancer.servers.values()):
+            reach: Reach = reach_of(server)
+            reach.waiting = longest.get(reach, 0.0)
+            was_long = reach.told_long and not reach.delays
+            due = self.is_long(reach.waiting) or was_long
+            if due and now >= reach.told_at + REPORT_INTERVAL:
+                self.measured(server, 0.0)
+
+    def longest_waits(self, now: float) -> dict[object, float]:
+        """For how long the oldest line has waited, by server; the decisions are told of silent flows."""
+        longest: dict[object, float] = {}
+        for client in list(self.clients):
+            connect = client.standing
+            if connect and not connect.over and connect.asked and client.flow:
+                longest[connect.reach] = max(longest.get(connect.reach, 0.0), now - connect.asked)
+                if now > connect.asked + SILENT_AFTER:
+                    self.balancer.silent(now, client.flow, now - connect.asked)
+        return longest
+
+    def is_long(self, seconds: float) -> bool:
+        return seconds > self.terms.shortest_message / 3
+
+    def measured(self, server: Server, seconds: float) -> None:
+        """Reports how long messages take at a server, by a probe or by the lines that wait there.
+
+        A hung server answers probes at once, so lines that it owes an answer to say more.
+        """
+        reach, now = reach_of(server), self.clock.now()
+        seconds = max(seconds, reach.waiting)
+        reach.told_long, reach.told_at = self.is_long(seconds), now
+        self.balancer.message_time_told(now, server, max(0.0, seconds), measured=True)
--- a/brambleplank/net/proxy.py
+++ b/brambleplank/net/proxy.py
@@ -10,23 +10,21 @@
 from brambleplank.host import Address, Condition, End, Entry, Terms
 from brambleplank.net.clock import Clock
 from brambleplank.net.door import Door
+from brambleplank.net.emptying import Emptying
 from brambleplank.net.log import Log
+from brambleplank.net.message_times import SWEEP_INTERVAL, MessageTimes
 from brambleplank.net.peers import Peers
 from brambleplank.net.probes import Probes
-from brambleplank.net.reach import Reach, reach_of
+from brambleplank.net.reach import reach_of
 from brambleplank.records import Flow, Server
 from brambleplank.rotation import Rotation
 from brambleplank.seams import Client, Connect, Probe, Shares, Source
 from brambleplank.talk import tag_of
 
-LOOK = 0.1  # seconds between two looks
+REDIAL_AFTER = 0.1  # seconds, of a connection from before the start
 PROBES_FROM = 1 / 4  # share of the descriptors that is left to others
-SILENT = 1.0  # seconds after which a line without an answer is spoken of
-TELLING = 1.0  # seconds between two tellings of one server, at least
 TAKE_UP = 40.0  # seconds after the start in which connections from before it are taken up
 FAILED = (End.ERROR, End.TIMEOUT, End.UNREACHABLE, End.RESET)  # what speaks against a server, over a fleet
-LAST_COME = 0.5  # seconds after the call to stop in which clients may still come
-LAST_READ = 0.5  # seconds after the end of a stop in which answers may still be read
 
 
 class Proxy:
@@ -50,11 +48,13 @@
         self.started = clock.now()
         self.door = Door(clock, descriptors)
         self.balancer = Balancer(self, terms, seed)
+        self.clients: dict[Client, None] = {}
+        self.message_times = MessageTimes(clock, terms, self.balancer, self.clients)
         self.probes = Probes(
             clock,
             terms,
             lambda: self.balancer.ready,
-            self.measured,
+            self.message_times.measured,
             lambda probes, server, address: probe(self.door, probes, server, address),
         )
         self.peers: Peers | None = None
@@ -69,8 +69,8 @@
         self.beside: Callable[[Server], int] = lambda server: 0  # what the process before holds there
         self.heard_word: Callable[[str, str], None] = lambda what, server_id: None  # an operator's
         self.emptied: Callable[[], None] = lambda: None  # called once a planned stop has emptied it
-        self.clients: dict[Client, None] = {}
-        clock.later(LOOK, self.look)
+        self.emptying = Emptying(clock, log, self.balancer, self.door, self.clients, lambda: self.emptied())
+        clock.later(SWEEP_INTERVAL, self.message_times.sweep)
 
     def takes_flows(self) -> bool:
         told = self.serving and (self.shares is None or self.shares.ready())
@@ -223,7 +223,7 @@
         elif client.at:
             if end is End.UNREACHABLE and now < self.started + TAKE_UP:
                 # Danger: one lost packet at the start, where all dial at once, would lose it for good.
-                self.clock.later(LOOK, self.stood_still, client)
+                self.clock.later(REDIAL_AFTER, self.stood_still, client)
             else:
                 client.abort("unplaced")
         if client.flow:
@@ -236,34 +236,6 @@
             )
             self.going_on = None
 
-    def look(self) -> None:
-        """Tells of connections that bring nothing back, and of their servers."""
-        self.clock.later(LOOK, self.look)
-        now = self.clock.now()
-        longest: dict[object, float] = {}
-        for client in list(self.clients):
-            connect = client.standing
-            if connect and not connect.over and connect.asked and client.flow:
-                longest[connect.reach] = max(longest.get(connect.reach, 0.0), now - connect.asked)
-                if now > connect.asked + SILENT:
-                    self.balancer.silent(now, client.flow, now - connect.asked)
-        for server in list(self.balancer.servers.values()):
-            reach: Reach = reach_of(server)
-            reach.waiting = longest.get(reach, 0.0)
-            due = reach.waiting > self.terms.shortest_message / 3 or (reach.told_long and not reach.delays)
-            if due and now >= reach.told_at + TELLING:
-                self.measured(server, 0.0)
-
-    def measured(self, server: Server, seconds: float) -> None:
-        """How long messages take at a server, by a probe or by the lines that wait there.
-
-        Danger: a hung server answers probes at once; lines that it owes an answer to say more.
-        """
-        reach, now = reach_of(server), self.clock.now()
-        seconds = max(seconds, reach.waiting)
-        reach.told_long, reach.told_at = seconds > self.terms.shortest_message / 3, now
-        self.balancer.message_time_told(now, server, max(0.0, seconds), measured=True)
-
     # What other proxies say.
 
     def time_told(self, named: int | str, seconds: float, usual: float) -> None:
@@ -324,7 +296,7 @@
 
     def retune(self, terms: Terms) -> None:
         """New settings, whole. What was derived from the old is derived anew where it is read."""
-        self.terms = self.probes.terms = terms
+        self.terms = self.probes.terms = self.message_times.terms = terms
         if not terms.measures:
             self.probes.stop()
         self.balancer.retune(terms)
@@ -461,23 +433,7 @@
         self.stopping = True
         self.log_lines.say("stop: told to leave")
         self.balancer.stop(self.clock.now())
-        self.clock.after_reads(LOOK if self.succeeded else LAST_COME, self.empty)
+        self.emptying.begin(self.succeeded)
         if self.succeeded:
             for client in [*self.clients, *self.door.waiting]:
                 self.hand_on(client)
-
-    def empty(self) -> None:
-        # Danger: who has connected and not said all yet would be cut off, in the kernel too, and who has an
-        # answer that is not read yet would lose it; nobody waits longer than this.
-        door, now = self.door, self.clock.now()
-        over = now >= self.balancer.stop_at
-        for client in list(door.waiting) if over else ():
-            client.show_out()
-        coming = door.waiting or any(listener.held for listener in door.listeners)
-        reading = door.leaving or door.shown_out
-        late = now >= self.balancer.stop_at + LAST_READ
-        if self.clients or (coming and not over) or (reading and not late):
-            self.clock.after_reads(LOOK, self.empty)
-        else:
-            self.log_lines.say("stop: empty")
-            self.emptied()
