--- a/benchmarks/world.py
+++ b/benchmarks/world.py
@@ -15,7 +15,7 @@
 from brambleplank.fleet.budgets import CONNECTIONS_GO, Budget
 from brambleplank.fleet.errors import BrokenError
 from brambleplank.fleet.fleet import Fleet
-from brambleplank.fleet.office import RATE
+from brambleplank.fleet.leader_election import RATE
 
 TURN = 0.1  # seconds between two turns of a member
 
@@ -196,7 +196,7 @@
     def give_back(self, node: Node, name: str) -> None:
         if node.fleet is not None and self.runs(node) and node.held[name]:
             node.held[name] -= 1
-            node.fleet.account(name).give_back()
+            node.fleet.account(name).release()
 
     def judge_office(self) -> None:
         found = [n.number for n in self.nodes if self.runs(n) and self.in_office(n)]
--- a/brambleplank/fleet/fleet.py
+++ b/brambleplank/fleet/fleet.py
@@ -11,19 +11,27 @@
 from dataclasses import dataclass
 from random import Random
 
-from brambleplank.fleet import invariants, words
+from brambleplank.fleet import invariants, messages
 from brambleplank.fleet.budgets import Account, Borrower, Budget, Ledger
 from brambleplank.fleet.counts import Counts, Coverage
-from brambleplank.fleet.editions import Editions
 from brambleplank.fleet.errors import BrokenError, ForeignError, UnlentError
 from brambleplank.fleet.judgements import Judgements
-from brambleplank.fleet.office import LEASE, TELL, Office
+from brambleplank.fleet.leader_election import LEASE, TELL, LeaderElection
+from brambleplank.fleet.versions import VersionAgreement
 
-SOONEST = 0.25  # seconds between two askings, where one is refused for want of a loan
+SOONEST = 0.25  # seconds between two requests, where a unit was refused for lack of a lease
 MOST_OLDER = 4  # earlier starts of a process that are remembered
 MS = 1000
 
-Agreeing = words.Holds | words.Edition | words.Need | words.Piece | words.Vote | words.Offer | words.Answer
+AgreementMessage = (
+    messages.VersionReport
+    | messages.VersionAnnouncement
+    | messages.ChunkRequest
+    | messages.Chunk
+    | messages.Vote
+    | messages.PublishRequest
+    | messages.PublishResponse
+)
 Say = Callable[[bytes, int | None], None]  # to one by its number, or to all others
 
 
@@ -57,26 +65,26 @@
         self.say, self.log, self.servers, self.check = say, log, servers, check
         self.rng = Random(seed)
         self.began = now
-        self.office = Office(number, members, incarnation, now, self.rng)
+        self.office = LeaderElection(number, members, incarnation, now, self.rng)
         self.accounts = {b.name: Account(b, number, now) for b in budgets}
         self.by_tag = {account.budget.tag: account for account in self.accounts.values()}
         self.ledgers = {b.tag: Ledger(b) for b in budgets}
         self.serving = False  # in office, as last looked
         self.counts, self.judgements = Counts(), Judgements()
         self.others: dict[int, Member] = {}
-        self.editions: dict[int, Editions] = {}  # by their kinds
+        self.agreements: dict[int, VersionAgreement] = {}  # by the kind of text
         self.asked = 0  # the number of this process's newest asking
         self.asked_at, self.answered_at = now, float("-inf")
         self.unanswered = 0
-        self.refused = False  # for want of a loan, since the last asking
+        self.refused = False  # for lack of a lease, since the last request
         self.ask_at = now + self.rng.uniform(0, TELL)
         self.tell_at = now + self.rng.uniform(0, TELL)
         self.covered, self.covered_at = Coverage(1, members, 0.0), now
         self.grows: list[Callable[[], dict[str, int]]] = []  # of its parts: what never falls, by name
         self.known: dict[str, int] = {}  # the same as last looked
         self.silent: set[int] = set()  # others, as last said in office
-        self.dark = False
-        self.dark_known = now + LEASE  # nothing is said of the dark before
+        self.partitioned = False
+        self.partition_known_from = now + LEASE  # a partition is not reported before
 
     # What the proxy asks.
 
@@ -100,15 +108,15 @@
         account.refused.add(now)
         self.refused = True
 
-    def lent(self, now: float) -> bool:
-        """Whether a lender has answered within a lease."""
+    def has_lease(self, now: float) -> bool:
+        """Whether the leader has answered within the length of a lease."""
         return now < self.answered_at + LEASE
 
     def coverage(self, now: float) -> Coverage:
         if self.office.in_office(now):
             ages = [now - m.at for m in self.others.values() if now < m.at + LEASE]
             return Coverage(1 + len(ages), self.members, max(ages, default=0.0))
-        if now >= self.covered_at + LEASE or self.dark:
+        if now >= self.covered_at + LEASE or self.partitioned:
             return Coverage(1, self.members, 0.0)
         return Coverage(self.covered.heard, self.members, self.covered.oldest + now - self.covered_at)
 
@@ -126,7 +134,7 @@
             term, number = beat
             covers = self.coverage(now)
             self.send(
-                words.Beat(
+                messages.Heartbeat(
                     self.incarnation,
                     term,
                     number,
@@ -136,8 +144,8 @@
                 )
             )
         self.serve(now)
-        for editions in self.editions.values():
-            editions.turn(now, self.office.lender)
+        for agreement in self.agreements.values():
+            agreement.turn(now, self.office.lender)
         wait = min(2 * TELL, TELL / 2 * 1.5 ** max(0, self.unanswered - 1)) if self.unanswered else TELL
         soon = self.refused and now >= self.asked_at + SOONEST * 1.5**self.unanswered
         if now >= self.ask_at or soon:
@@ -154,13 +162,13 @@
         serving = self.office.in_office(now)
         if serving and not self.serving:
             for ledger in self.ledgers.values():
-                ledger.open(now)
-            for editions in self.editions.values():
-                editions.open(now, self.office.term)
+                ledger.begin_term(now)
+            for agreement in self.agreements.values():
+                agreement.become_leader(now, self.office.term)
             self.log(f"fleet: in office, term {self.office.term}")
         elif self.serving and not serving:
-            for editions in self.editions.values():
-                editions.close()
+            for agreement in self.agreements.values():
+                agreement.step_down()
             self.log("fleet: out of office: no majority is heard")
         self.serving = serving
 
@@ -172,7 +180,11 @@
         self.asked += 1
         self.asked_at, self.refused = now, False
         self.unanswered += 1
-        ask = words.Ask(
+        allocations = [
+            messages.Allocation(account.budget.tag, account.release_unused(now), account.wants(now))
+            for account in self.accounts.values()
+        ]
+        ask = messages.LeaseRequest(
             self.incarnation,
             self.asked,
             office.lender_incarnation,
@@ -180,7 +192,7 @@
             supports,
             round(max(0.0, now - self.began) * MS),
             office.seen,
-            [words.Purse(a.budget.tag, a.binds(now), a.wants(now)) for a in self.accounts.values()],
+            allocations,
         )
         if office.lender == self.number:
             self.heard_ask(now, self.number, ask)
@@ -190,43 +202,46 @@
     def tell(self, now: float) -> None:
         """Counts, tries, and what they come to."""
         in_office, lender = self.office.in_office(now), self.office.lender
-        for editions in self.editions.values():
-            editions.tell(now, lender)
+        for agreement in self.agreements.values():
+            agreement.report(now, lender)
         good, bad = self.judgements.opinions(now)
         if self.office.stands:
             self.counts.told(self.number, self.incarnation, self.counts.to_tell())
             self.judgements.said(now, self.number, good, bad, len(good) + len(bad), len(bad))
         elif lender is not None:
             if counts := self.counts.to_tell():
-                self.send(words.Counts(self.incarnation, counts), lender)
-            for told_good, told_bad in self.judgements.to_report(now, words.MOST_TAGS):
+                self.send(messages.CountReport(self.incarnation, counts), lender)
+            for told_good, told_bad in self.judgements.to_report(now, messages.MAX_SERVERS):
                 self.send(
-                    words.Tried(self.incarnation, told_good, told_bad, len(good) + len(bad), len(bad)), lender
+                    messages.ServerObservations(
+                        self.incarnation, told_good, told_bad, len(good) + len(bad), len(bad)
+                    ),
+                    lender,
                 )
         if in_office:
             if sums := self.counts.to_say():
-                self.send(words.Sums(self.incarnation, sums))
+                self.send(messages.Aggregates(self.incarnation, sums))
             if judged := self.judgements.judged(now, len(self.servers())):
                 self.judgements.heard(now, judged)
-                for start in range(0, len(judged), words.MOST_TAGS):
-                    part = judged[start : start + words.MOST_TAGS]
-                    self.send(words.Verdicts(self.incarnation, part))
+                for start in range(0, len(judged), messages.MAX_SERVERS):
+                    part = judged[start : start + messages.MAX_SERVERS]
+                    self.send(messages.Ejections(self.incarnation, part))
 
     def look(self, now: float) -> None:
-        """Says when the dark begins and ends; in office, who is no longer heard."""
+        """Logs when a partition begins and ends; as the leader, which members are unreachable."""
         if self.serving:
             silent = {who for who, member in self.others.items() if now >= member.at + LEASE}
             for who in sorted(silent ^ self.silent):
                 self.log(f"fleet: {who} is {'no longer heard' if who in silent else 'heard again'}")
             self.silent = silent
-        dark = now >= max(self.answered_at + LEASE, self.dark_known)
-        if dark == self.dark:
+        partitioned = now >= max(self.answered_at + LEASE, self.partition_known_from)
+        if partitioned == self.partitioned:
             return
-        self.dark = dark
-        if dark:
-            by_right = ", ".join(f"{name} {a.allowance(now)}" for name, a in self.accounts.items())
+        self.partitioned = partitioned
+        if partitioned:
+            reserves = ", ".join(f"{name} {a.allowance(now)}" for name, a in self.accounts.items())
             self.log(
-                f"fleet: in the dark: nobody lends; budgets by right: {by_right or 'none'}; counts are own"
+                f"fleet: in the dark: nobody lends; budgets by right: {reserves or 'none'}; counts are own"
             )
         else:
             self.log(f"fleet: out of the dark: {self.coverage(now)}")
@@ -247,7 +262,7 @@
 
     def grown(self) -> dict[str, int]:
         """What never falls while this process runs."""
-        found = {f"edition of {each.name}": each.edition for each in self.editions.values()}
+        found = {f"edition of {each.name}": each.version for each in self.agreements.values()}
         found["counts"] = sum(map(sum, self.counts.fleet.values()))
         for grows in self.grows:
             found.update(grows())
@@ -257,129 +272,132 @@
         self.log(f"fleet: {broken.whole()}")
         self.known = self.grown()  # once said is enough
         for account in self.accounts.values():
-            account.fall_back()
+            account.drop_lease()
         for ledger in self.ledgers.values():
-            ledger.open(now)
+            ledger.begin_term(now)
 
     # What others say.
 
-    def send(self, word: words.Word, to: int | None = None) -> None:
-        self.say(words.encode(word), to)
+    def send(self, message: messages.Message, to: int | None = None) -> None:
+        self.say(messages.encode(message), to)
 
     def heard(self, now: float, who: int, data: bytes) -> None:
-        """Raises ForeignError for what is no word, or comes from no member."""
+        """Raises ForeignError for what is no message, or comes from no member."""
         try:
-            self.take_in(now, who, words.decode(data))
+            self.take_in(now, who, messages.decode(data))
         except BrokenError as broken:
             self.mend(now, broken)
 
-    def take_in(self, now: float, who: int, word: words.Any) -> None:
+    def take_in(self, now: float, who: int, message: messages.Any) -> None:
         if not 0 <= who < self.members or who == self.number:
             raise ForeignError(f"from no other member: {who}", "fleet")
         member = self.others.setdefault(who, Member())
-        if word.incarnation < member.incarnation:
-            self.send(words.Older(self.incarnation, member.incarnation), who)
+        if message.incarnation < member.incarnation:
+            self.send(messages.StaleIncarnation(self.incarnation, member.incarnation), who)
             return  # late, by a start that is over; or its clock was set back
-        if word.incarnation > member.incarnation:
+        if message.incarnation > member.incarnation:
             older = (*member.older, member.incarnation)[-MOST_OLDER:] if member.incarnation else ()
-            member.incarnation, member.older, member.asked = word.incarnation, older, 0
-        if isinstance(word, words.Ask):
+            member.incarnation, member.older, member.asked = message.incarnation, older, 0
+        if isinstance(message, messages.LeaseRequest):
             member.at = now
-            for editions in self.editions.values():
-                editions.heard_at[who] = now
-            self.heard_ask(now, who, word)
-        elif isinstance(word, words.Beat):
-            self.office.heard_beat(now, who, word)
-            if word.serves and self.follows(who, word.incarnation):
-                self.covered = Coverage(word.heard, self.members, word.oldest / MS)
+            for agreement in self.agreements.values():
+                agreement.heard_at[who] = now
+            self.heard_ask(now, who, message)
+        elif isinstance(message, messages.Heartbeat):
+            self.office.heard_beat(now, who, message)
+            if message.serves and self.follows(who, message.incarnation):
+                self.covered = Coverage(message.reachable, self.members, message.oldest / MS)
                 self.covered_at = now
-        elif isinstance(word, words.Grant):
-            self.heard_grant(now, who, word)
-        elif isinstance(word, words.Older):
-            # Danger: a late word of a start that is over is answered so as well; one that lies could say so.
-            if word.known > self.incarnation and self.follows(who, word.incarnation):
-                self.begin_anew(now, word.known)
-        elif isinstance(word, words.Counts):
-            self.counts.told(who, word.incarnation, word.counts)
-        elif isinstance(word, Agreeing):
-            self.heard_editions(now, who, word)
-        elif isinstance(word, words.Tried):
-            self.judgements.said(now, who, word.found_good, word.found_bad, word.tried, word.bad)
-        elif self.follows(who, word.incarnation) and self.office.serves:
-            if isinstance(word, words.Sums):
-                self.counts.summed({count.key: count.totals for count in word.counts})
-            elif isinstance(word, words.Verdicts):
-                self.judgements.heard(now, word.servers)
-
-    def heard_editions(self, now: float, who: int, word: words.Any) -> None:
-        if isinstance(word, words.Need | words.Piece):
-            for editions in self.editions.values():
-                if isinstance(word, words.Need):
-                    editions.needed(who, word)
+        elif isinstance(message, messages.LeaseGrant):
+            self.heard_grant(now, who, message)
+        elif isinstance(message, messages.StaleIncarnation):
+            # An answer to a late message of an earlier start, or a forged one, must not restart this member.
+            if message.known > self.incarnation and self.follows(who, message.incarnation):
+                self.begin_anew(now, message.known)
+        elif isinstance(message, messages.CountReport):
+            self.counts.told(who, message.incarnation, message.counts)
+        elif isinstance(message, AgreementMessage):
+            self.receive_agreement(now, who, message)
+        elif isinstance(message, messages.ServerObservations):
+            self.judgements.said(
+                now, who, message.healthy, message.failing, message.tried_total, message.failing_total
+            )
+        elif self.follows(who, message.incarnation) and self.office.serves:
+            if isinstance(message, messages.Aggregates):
+                self.counts.summed({count.key: count.totals for count in message.counts})
+            elif isinstance(message, messages.Ejections):
+                self.judgements.heard(now, message.servers)
+
+    def receive_agreement(self, now: float, who: int, message: messages.Any) -> None:
+        if isinstance(message, messages.ChunkRequest | messages.Chunk):
+            for each in self.agreements.values():
+                if isinstance(message, messages.ChunkRequest):
+                    each.send_chunks(who, message)
                 else:
-                    editions.came(now, word)
+                    each.receive_chunk(now, message)
             return
-        of = self.editions.get(getattr(word, "kind", -1))
-        if of is None:
+        agreement = self.agreements.get(getattr(message, "kind", -1))
+        if agreement is None:
             return
-        if isinstance(word, words.Edition):
-            if self.follows(who, word.incarnation) and self.office.serves:
-                of.told(now, who, word)
-            elif not of.knows:
-                of.learn(who, word)
-        elif isinstance(word, words.Holds):
-            of.reported(now, who, word)
-        elif isinstance(word, words.Vote):
-            of.voted(now, who, word)
-        elif isinstance(word, words.Offer):
-            of.offered(now, who, word)
-        elif isinstance(word, words.Answer) and self.follows(who, word.incarnation):
-            of.answered(word)
+        if isinstance(message, messages.VersionAnnouncement):
+            if self.follows(who, message.incarnation) and self.office.serves:
+                agreement.receive_announcement(now, who, message)
+            elif not agreement.is_current:
+                agreement.learn_at_start(who, message)
+        elif isinstance(message, messages.VersionReport):
+            agreement.receive_report(now, who, message)
+        elif isinstance(message, messages.Vote):
+            agreement.receive_vote(now, who, message)
+        elif isinstance(message, messages.PublishRequest):
+            agreement.receive_publish_request(now, who, message)
+        elif isinstance(message, messages.PublishResponse) and self.follows(who, message.incarnation):
+            agreement.receive_publish_response(message)
 
     def follows(self, who: int, incarnation: int) -> bool:
         return (who, incarnation) == (self.office.lender, self.office.lender_incarnation)
 
-    def heard_ask(self, now: float, who: int, ask: words.Ask) -> None:
+    def heard_ask(self, now: float, who: int, ask: messages.LeaseRequest) -> None:
         own = who == self.number
         member = self.others.get(who) or Member(self.incarnation)
-        if ask.to != self.incarnation or (not own and ask.number <= member.asked):
+        if ask.recipient != self.incarnation or (not own and ask.sequence <= member.asked):
             return  # Danger: late or repeated, it says what its process had, not what it has.
-        member.asked = ask.number
+        member.asked = ask.sequence
         if ask.supports:
-            self.office.supported(now, who, ask.beat, ask.term)
+            self.office.supported(now, who, ask.heartbeat, ask.term)
         if not self.office.in_office(now):
             return
         self.serve(now)
-        if not self.office.fresh(ask.beat):
-            return  # Danger: sent before, it may say of a loan that the one before has lent to another since.
+        if not self.office.fresh(ask.heartbeat):
+            return  # Sent before this term, it may claim a lease that was granted to another since.
         borrower: Borrower = who, ask.incarnation
         older = [(who, incarnation) for incarnation in member.older]
         try:
-            loans = [
-                words.Loan(
-                    p.budget, self.ledgers[p.budget].asked(now, borrower, ask.age / MS, p.has, p.wants, older)
+            leases = [
+                messages.Lease(
+                    p.budget,
+                    self.ledgers[p.budget].renew(now, borrower, ask.age / MS, p.held, p.wanted, older),
                 )
-                for p in ask.purses
+                for p in ask.allocations
                 if p.budget in self.ledgers
             ]
         except BrokenError as broken:
             self.mend(now, broken)
             return
-        grant = words.Grant(self.incarnation, ask.incarnation, ask.number, loans)
+        grant = messages.LeaseGrant(self.incarnation, ask.incarnation, ask.sequence, leases)
         if own:
             self.heard_grant(now, who, grant)
         else:
             self.send(grant, who)
 
-    def heard_grant(self, now: float, who: int, grant: words.Grant) -> None:
-        asked = grant.to == self.incarnation and grant.asked == self.asked and self.unanswered
+    def heard_grant(self, now: float, who: int, grant: messages.LeaseGrant) -> None:
+        asked = grant.recipient == self.incarnation and grant.request == self.asked and self.unanswered
         if not asked or not self.follows(who, grant.incarnation):
             return  # Danger: the lender counts on what this process said last; an older answer is void.
         self.answered_at, self.unanswered = now, 0
         self.ask_at = self.asked_at + TELL * self.rng.uniform(0.9, 1.0)
-        for loan in grant.loans:
-            if loan.budget in self.by_tag:
-                self.by_tag[loan.budget].granted(self.asked_at, loan.amount)
+        for lease in grant.leases:
+            if lease.budget in self.by_tag:
+                self.by_tag[lease.budget].receive_lease(self.asked_at, lease.amount)
 
     def begin_anew(self, now: float, known: int) -> None:
         """A start of this process with a higher number was heard of: nothing it said was taken up."""
--- a/brambleplank/platform/run.py
+++ b/brambleplank/platform/run.py
@@ -46,8 +46,8 @@
 
     def share(self, told: start.Told) -> None:
         """What only this needs is imported only here."""
+        from brambleplank.fleet.messages import FORMAT
         from brambleplank.fleet.routing import TableError
-        from brambleplank.fleet.words import FORM
         from brambleplank.net.fleet import Sharing
 
         proxy, peers = self.proxy, self.proxy.peers
@@ -69,7 +69,7 @@
             raise UnfitError(f"fleet.routes: {told.fleet.routes}: {error.strerror}") from None
         except TableError as error:
             raise UnfitError(f"fleet.routes: {told.fleet.routes}: {error}") from None
-        peers.further[FORM] = lambda data, who: sharing.heard(data, who - first)
+        peers.further[FORMAT] = lambda data, who: sharing.heard(data, who - first)
 
     def let_speak(self, told: start.Told) -> bool:
         """What other proxies may hear, and this one of them; True where that begins anew."""
@@ -146,7 +146,7 @@
 
         What only this needs is imported only here.
         """
-        from brambleplank.platform import handover
+        from brambleplank.platform import handover, socket_path, takeover
 
         tmp = os.environ.get("TMPDIR")
         wanted = {"listen": self.told.listen, "mgmt": mgmt}
@@ -154,7 +154,8 @@
             wanted["peer_listen"] = self.told.peer_listen
         taken = None
         if tmp:
-            taken = handover.ask(handover.place(tmp, self.told.listen, "sock"), wanted, self.proxy.log)
+            path = socket_path.place(tmp, self.told.listen, "sock")
+            taken = takeover.request(path, wanted, self.proxy.log)
         adopt = taken.adopt if taken else lambda key: None
         hears: Any = None
 
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -15,7 +15,7 @@
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule, run_state_machine_as_test
 
 from benchmarks.world import World, duel, rough
-from brambleplank.fleet import budgets, counts, fleet, office, words
+from brambleplank.fleet import budgets, counts, fleet, leader_election, messages
 from brambleplank.fleet.budgets import Budget, Spent
 from brambleplank.fleet.counts import SERVED, Counts, merged
 from brambleplank.fleet.errors import BrokenError, ForeignError
@@ -130,35 +130,40 @@
 FAULTS: dict[str, tuple[Any, str, str, str]] = {
     "a lender forgets what was spent within the window": (
         budgets.Ledger,
-        "ends",
+        "lease_end",
         "(LEASE + window)",
         "LEASE",
     ),
-    "what stands is lent again after its lease": (budgets.Ledger, "ends", "else inf", "else now + LEASE"),
-    "a new lender lends at once": (budgets.Ledger, "open", "self.ends(now)", "now"),
+    "what stands is lent again after its lease": (
+        budgets.Ledger,
+        "lease_end",
+        "else inf",
+        "else now + LEASE",
+    ),
+    "a new lender lends at once": (budgets.Ledger, "begin_term", "self.lease_end(now)", "now"),
     "who asks has more than it says": (
         budgets.Account,
-        "binds",
-        "self.lent = min(still, max(in_use, self.wants(now)))",
+        "release_unused",
+        "self.leased = min(still, max(in_use, self.wants(now)))",
         "pass",
     ),
     "a start has its whole reserve": (budgets.Account, "begin_anew", "now + self.budget.memory", "now"),
     "a loan never runs out": (
         budgets.Account,
-        "allowance binds",
-        "not self.budget.window or now < self.lent_until",
+        "allowance release_unused",
+        "not self.budget.window or now < self.leased_until",
         "True",
     ),
     "an old answer lends": (
         fleet.Fleet,
         "heard_grant",
-        "grant.asked == self.asked and self.unanswered",
+        "grant.request == self.asked and self.unanswered",
         "True",
     ),
-    "a late asking counts": (fleet.Fleet, "heard_ask", "ask.number <= member.asked", "False"),
-    "a start promises at once": (office.Office, "__init__", "now + LEASE * LONGER", "now"),
+    "a late asking counts": (fleet.Fleet, "heard_ask", "ask.sequence <= member.asked", "False"),
+    "a start promises at once": (leader_election.LeaderElection, "__init__", "now + LEASE * LONGER", "now"),
     "a promise counts from its arrival": (
-        office.Office,
+        leader_election.LeaderElection,
         "supported",
         "self.sent[beat] + LEASE * SHORTER",
         "now + LEASE",
@@ -171,7 +176,7 @@
     of, names, old, new = FAULTS[fault]
     for name in names.split():
         monkeypatch.setattr(of, name, changed(getattr(of, name), old, new))
-    seeds = [25 * n for n in range(40)] if of is office.Office else range(1, 100)
+    seeds = [25 * n for n in range(40)] if of is leader_election.LeaderElection else range(1, 100)
     with pytest.raises(BrokenError):
         for seed in seeds:
             play(seed, 30)
@@ -243,7 +248,7 @@
         now += gap
         spent.add(now)
         times.append(now)
-        assert sum(t > now - window for t in times) <= spent.fade(now)
+        assert sum(t > now - window for t in times) <= spent.expire(now)
 
 
 totals = st.dictionaries(st.sampled_from("abc"), st.lists(st.integers(0, 9), min_size=5, max_size=5))
@@ -257,7 +262,7 @@
 
 @given(st.randoms(use_true_random=False))
 def test_sums_never_fall_and_count_each_event_once_over_starts_lost_and_repeated_words(rng: Any) -> None:
-    office_counts, told, truth = Counts(), list[tuple[int, int, list[words.Count]]](), 0
+    office_counts, told, truth = Counts(), list[tuple[int, int, list[messages.Count]]](), 0
     lives = {who: (1, Counts()) for who in range(3)}
     sums = [0]
     for _ in range(60):
@@ -295,7 +300,7 @@
     world = World(2, [Budget("rate", 10, 1.0, 2)], 1)
     node = world.nodes[0]
     assert node.fleet
-    for datagram in (data, bytes([words.FORM]) + data):
+    for datagram in (data, bytes([messages.FORMAT]) + data):
         try:
             node.fleet.heard(0.0, 1, datagram)
         except ForeignError as error:
@@ -363,7 +368,7 @@
     for node in world.nodes:
         assert node.fleet and sum(t[SERVED] for t in node.fleet.counts.fleet.values()) == 150
         assert node.fleet.coverage(world.clock(node)).heard == 5
-    assert max(sizes) <= words.LONGEST
+    assert max(sizes) <= messages.MAX_DATAGRAM
 
 
 def test_a_start_whose_clock_was_set_back_is_told_so_and_is_heard_again() -> None:
--- a/tests/test_large_fleets.py
+++ b/tests/test_large_fleets.py
@@ -23,7 +23,7 @@
 from brambleplank.fleet.fleet import Fleet
 from brambleplank.host import Address, Condition, Entry
 from brambleplank.net.peers import LONGEST
-from brambleplank.platform import estate, handover, start
+from brambleplank.platform import estate, start, upgrade_messages
 from brambleplank.platform.run import Program
 from brambleplank.rotation import Rotation
 from brambleplank.sidecar import reader
@@ -265,8 +265,8 @@
     before, after = Process(1), Process(1, {**LIST, "hosts": []})
     for name in NAMES:
         before.proxy.take_out(name)
-    line = handover.line_of({"estate": estate.left(before.proxy, before.program.discovery)})
-    assert len(line) < handover.LONGEST
+    line = upgrade_messages.encode({"estate": estate.left(before.proxy, before.program.discovery)})
+    assert len(line) < upgrade_messages.MAX_LINE
     estate.take_up(after.proxy, after.program.discovery, estate.read(json.loads(line)["estate"]))
     assert list(after.proxy.rotation.out) == NAMES and list(after.servers) == NAMES
     rotation, listed = Rotation(), [entry(name) for name in NAMES]
@@ -326,7 +326,7 @@
     members = Members()
     members.run(9.0)
     assert {fleet.coverage(members.now).heard for fleet in members.fleets} == {PROCESSES}
-    assert all(fleet.lent(members.now) for fleet in members.fleets)
+    assert all(fleet.has_lease(members.now) for fleet in members.fleets)
     for fleet in members.fleets:
         fleet.counts.note(1, "feed", "acme", "v1")
     tags = members.tags()
