--- a/benchmarks/large_fleet.py
+++ b/benchmarks/large_fleet.py
@@ -17,10 +17,9 @@
 import tempfile
 import time
 from pathlib import Path
-from types import SimpleNamespace
 from typing import Any
 
-from brambleplank.decide import Ring
+from brambleplank.hash_ring import HashRing
 from brambleplank.records import Server
 from brambleplank.server_tags import ServerTags
 from brambleplank.talk import Talk
@@ -161,7 +160,7 @@
     """Seconds for the records of so many servers and their ring."""
     began = time.perf_counter()
     listed = [Server(host["host"], 0.0) for host in hosts(servers)]
-    Ring(SimpleNamespace(terms=None)).build(listed)  # type: ignore[arg-type]
+    HashRing().build(listed)
     return time.perf_counter() - began
 
 
--- a/brambleplank/decide.py
+++ b/brambleplank/decide.py
@@ -1,68 +1,46 @@
 """Every decision of brambleplank, for one proxy: a host makes a `Balancer`, which answers through its `Host`.
 
-A flow runs down a chain of small stages: `Promise` (one answer in time), `Ring` (whom it belongs to), `Gate`
-(how many connects may be out), `Launch` (the connect). Those between forbid servers where a rule is at stake,
-or avoid them on evidence, by degrees; the ring takes the least avoided, and rejects where only harm is left.
-What comes back runs up the chain. The ring is the DTS paper's; `docs/design.md` says when exceptions act.
+A flow runs down a chain of stages: `Promise` (one answer in time), `ConcurrencyLimiter` (how many attempts
+are out), `Placement` (whom it belongs to), `Launch` (the attempt). Those between forbid servers by a rule, or
+avoid them on evidence, by degrees; what comes back runs up the chain. `docs/design.md` says when each acts.
 """
 
 from __future__ import annotations
 
-from bisect import bisect_right
-from collections.abc import Callable, Iterable, Iterator
+from collections.abc import Callable, Iterable
 from functools import partial
 from itertools import chain
-from math import ceil, exp, inf, sqrt
+from math import ceil, inf, sqrt
 from random import Random
 from typing import Any
 
+from brambleplank.group_members import GroupMembers
+from brambleplank.hash_ring import HashRing
 from brambleplank.host import Condition, Effect, End, Entry, Host, ServiceType, Terms
-from brambleplank.records import POINTS, SPOT_CUT, Connect, Flow, Server, place_on_ring
+from brambleplank.records import POINTS, Connect, FadingCount, Flow, Server, place_on_ring
+from brambleplank.stage import Stage
+
+Counts = Iterable[tuple[Server, int]]  # connections held, by server
 
 BOUND_FACTOR, BOUND_SPARE = 2, 2  # an owner is full at twice the mean count plus two
 FULL, SLOW, HARMFUL = 1, 2, 3  # how strongly evidence speaks against a server
-TRUSTED = 8  # connects in a row that went well, doubling from one, before a server is trusted again
-NEVER_RAN = (End.FULL, End.UNREACHABLE, End.MOOT)
+TRUSTED, MEAN_GRANTED = 8, 2 / 3  # attempts that went well, doubling, until trust; of a cold server's budget
+NEVER_RAN, NO_FAULT = (End.FULL, End.UNREACHABLE, End.MOOT), (End.OK, End.CANCELLED, End.MOOT)
+NO_FAULT_IF_SHARED = (*NO_FAULT, End.ERROR, End.TIMEOUT)
 TOO_UNUSUAL, LEARNING = 3.0, 1 / 8  # a silence that one gap in 1,000 outlasts; weight of the newest
 NEWS_PERIOD = 1.0  # seconds between two tellings of a server's message time, as hosts give them
-MOST, HALF_OPEN = 1 / 2, 1 / 4  # shares of failed connects: the gate narrows; where it then starts anew
+FLEET_START, FLEET_LEAST, RETRY_BURST = 128, 16, 8.0  # attempts of all out at first, at least; retries saved
 RELIEF, DEGREE = 1 / 3, 1 / 4  # of its own on a slow server, moved a telling; over its share, a degree worse
 ASKED, LEAST_TOLD, KEPT = 2, 1 / 8, 3  # the word for a turn; least change of a sum told; tellings it holds
-WHOLE_EVERY, MOST_TOLD, MOST_HOMES = 12, 2**21 - 1, 4096  # tellings to a whole one; counts told; homes kept
+WHOLE_EVERY, MOST_TOLD = 12, 2**21 - 1  # tellings to a whole one; counts told
 ROOM_KEPT, LAST_PART = 1 / 8, 2 / 5  # of the descriptors, for answers and the list; of a stop, for moves
 
 
-class Stage:
-    """One step of the chain; what a stage leaves out passes everything on."""
-
-    def __init__(self, balancer: Balancer) -> None:
-        self.balancer, self.terms = balancer, balancer.terms
-
-    def onward(self, now: float, flow: Flow) -> bool:
-        """True passes the flow on; False keeps or ends it."""
-        return True
-
-    def forbids(self, now: float, flow: Flow, server: Server) -> bool:
-        return False
-
-    def avoids(self, now: float, flow: Flow, server: Server) -> int:
-        """How strongly evidence speaks against the server: 0 not at all, HARMFUL: rather reject."""
-        return 0
-
-    def stands(self, now: float, connect: Connect, delay: float) -> None:
-        """The connect is established."""
-
-    def back(self, now: float, connect: Connect, end: End, delay: float) -> None:
-        """The connect is over."""
-
-
-class Promise(Stage):
+class Promise(Stage["Balancer"]):
     """One final answer, ahead of the connect timeout; what is given up on is answered at once."""
 
     def onward(self, now: float, flow: Flow) -> bool:
         room, left = self.balancer.host.room(), flow.give_up_at - self.balancer.margin - now
-        if not flow.connects:
-            self.balancer.host.alarm(max(0.0, left), lambda at: self.expire(at, flow))
         # Danger: with no descriptor left, nothing can be connected, accepted or followed any more.
         if left > 0 and room > ROOM_KEPT and len(flow.connects) < flow.service_type.max_connects:
             return True
@@ -71,25 +49,32 @@
     def expire(self, now: float, flow: Flow) -> None:
         if flow.answered or (flow.out and flow.out.established):
             return
+        self.balancer.limiter.queue.pop(flow, None)
         if flow.out and self.terms.cancelling:
             self.balancer.host.withdraw(flow, len(flow.connects) - 1)
         self.balancer.give_up(flow)
 
     def back(self, now: float, connect: Connect, end: End, delay: float) -> None:
-        if not connect.flow.answered:
+        if connect.flow.answered:
+            return
+        self.balancer.limiter.retry_budget -= end in (End.ERROR, End.TIMEOUT)
+        if end is End.ERROR and self.balancer.limiter.retry_budget < 0:
+            self.balancer.give_up(connect.flow)
+        else:
             self.balancer.place(now, connect.flow)
 
 
-class Drain(Stage):
+class Drain(Stage["Balancer"]):
     """Nothing new to a server that drains or is gone. A mid-flow flow may still reach it within the grace."""
 
     def forbids(self, now: float, flow: Flow, server: Server) -> bool:
-        return server.condition is not Condition.READY and (
-            not flow.midflow or server.condition is Condition.GONE
-            or now >= server.unready_since + self.terms.drain_grace / 2)
+        if server.condition is Condition.READY:
+            return False
+        late = now >= server.unready_since + self.terms.drain_grace / 2
+        return late or not flow.midflow or server.condition is Condition.GONE
 
 
-class Effects(Stage):
+class Effects(Stage["Balancer"]):
     """No effect twice: where a flow may go once a connect of it may have run."""
 
     def forbids(self, now: float, flow: Flow, server: Server) -> bool:
@@ -106,18 +91,44 @@
         return FULL if any(c.server is server for c in flow.connects) else 0
 
 
-class Cold(Stage):
-    """Lets a server that has just started have only this proxy's own share of its budget.
+class Cold(Stage["Balancer"]):
+    """Lets a server that has just started have only its budget, by tickets, grants, or the keeper's turns."""
+
+    # Danger: all at once push it over.
 
-    Danger: all at once push it over. So its budget is cut into tickets; where a keeper hears all, it deals.
-    """
+    def __init__(self, balancer: Balancer) -> None:
+        super().__init__(balancer)
+        self.visits, self.visits_lately = FadingCount(), FadingCount()  # of flows at servers in slow start
 
     def forbids(self, now: float, flow: Flow, server: Server) -> bool:
         if not self.cold(now, server) or flow.turn is server:
             return False
         if self.balancer.hears_keeper(now):
             return flow.asked
-        return self.tickets(now, server, [self.terms.number]) <= server.cold_sent  # a new slot first
+        if not self.terms.sums:
+            return not self.granted(now, server)
+        return not self.has_ticket(now, server)
+
+    def granted(self, now: float, server: Server) -> bool:
+        """By chance, so that all keep within the budget; what is dealt by number lapses with few flows."""
+        budget, visits = self.sustainable(now, server) * MEAN_GRANTED, self.visits_expected(now)
+        if visits >= MEAN_GRANTED:
+            return self.has_ticket(now, server)
+        self.slot(now, server)
+        if server.cold_sent >= max(1, ceil(budget / self.terms.proxies)):
+            return False
+        return self.balancer.rng.random() * self.terms.proxies * visits < max(1.0, budget)
+
+    def has_ticket(self, now: float, server: Server) -> bool:
+        return self.tickets(now, server, [self.terms.number]) > server.cold_sent  # a new slot first
+
+    def visits_expected(self, now: float) -> float:
+        """How often the flows of this process try one server in slow start, in the time in which it falls."""
+        fall, balancer = self.terms.fall_time, self.balancer
+        self.visits.add(now, self.terms.ramp_time)
+        self.visits_lately.add(now, fall)
+        visits = max(balancer.rate(now, self.visits) * fall, self.visits_lately.value(now, fall) - 1)
+        return visits / max(1, len(balancer.ready) - balancer.warm)
 
     def tickets(self, now: float, server: Server, numbers: Iterable[int]) -> int:
         """How many of this slot's the proxies of these numbers have together."""
@@ -135,15 +146,19 @@
 
     def budget(self, now: float, server: Server) -> float:
         """Connects of all proxies in a slot; one harms nobody."""
+        most = self.sustainable(now, server)
+        return max(1.0, min(most, most / 2 + sqrt(most)))  # Danger: any time touches two slots, rounded up
+
+    def sustainable(self, now: float, server: Server) -> float:
+        """Connects that it bears at this age in the time in which it falls, by what warm servers bear."""
         able = 1 - (1 - self.terms.cold_from) * (1 - (now - server.started) / self.terms.ramp_time)
         fleet = 1.0 if self.balancer.summed else self.terms.proxies / (1 + len(self.balancer.peers))
         stood = fleet * self.balancer.usual() * len(self.balancer.able)
         # Danger: what one proxy serves, taken for what each does, is far off where clients are uneven.
         alike = min(self.terms.proxies, max(fleet, stood) / max(1, self.balancer.held))
         stands = stood * server.size / self.balancer.usual_size / self.terms.ramp_time
-        a_second = max(stands, alike * self.balancer.served_rate(now)) * able / max(1, self.balancer.warm)
-        most = self.terms.overload_factor * a_second * self.terms.fall_time
-        return max(1.0, min(most, most / 2 + sqrt(most)))  # Danger: any time touches two slots, rounded up
+        a_second = max(stands, alike * self.balancer.rate(now, self.balancer.served)) * able
+        return self.terms.overload_factor * a_second * self.terms.fall_time / max(1, self.balancer.warm)
 
     def onward(self, now: float, flow: Flow) -> bool:
         server, balancer = flow.target, self.balancer
@@ -176,7 +191,7 @@
                 self.balancer.place(now, flow)
 
 
-class Health(Stage):
+class Health(Stage["Balancer"]):
     """Sets aside a server whose silence is unusual, and lets a trickle through that doubles."""
 
     def avoids(self, now: float, flow: Flow, server: Server) -> int:
@@ -209,7 +224,8 @@
         server = connect.server
         server.silence, server.dead = 0.0, False
         server.gap = server.gap + LEARNING * (delay - server.gap) if server.gap else delay
-        self.balancer.gap += LEARNING * (delay - self.balancer.gap) if self.balancer.gap else delay
+        # Danger: learnt as slowly, a shared delay would make each server look silent by itself.
+        self.balancer.gap = max(delay, self.balancer.gap + LEARNING * (delay - self.balancer.gap))
         if server.trickle:
             server.trickle *= 2
             if server.trickle >= TRUSTED:
@@ -218,8 +234,8 @@
 
     def back(self, now: float, connect: Connect, end: End, delay: float) -> None:
         server = connect.server
-        shared = self.balancer.gate.window < inf and end in (End.ERROR, End.TIMEOUT)  # not its fault
-        if connect.established or shared or end in (End.OK, End.CANCELLED, End.MOOT):
+        shared = self.balancer.limiter.is_congested(now, connect.flow.service_type.connect_timeout)
+        if connect.established or end in (NO_FAULT_IF_SHARED if shared else NO_FAULT):
             return
         server.silence += delay if end is End.TIMEOUT else 0.0
         if end is End.TIMEOUT and not server.trickle:
@@ -228,7 +244,7 @@
             self.set_aside(now, server, end.value)
 
 
-class Strain(Stage):
+class Strain(Stage["Balancer"]):
     """Passes over a server that shows it has too much: slow messages, or connections it has dropped."""
 
     # Danger: its clients come again at once, the ring places them there, they are dropped again, and so on.
@@ -245,6 +261,7 @@
         # Danger: another proxy broke or moved it, for a reason that this one is not told; the owner likelier.
         likely = (3 if server is self.balancer.ring.owner(flow.spot) else 2) * (1 - 2 / self.terms.proxies)
         likely *= self.balancer.usual_size / server.size
+        likely *= min(1.0, self.balancer.mean())  # Danger: where each holds few, none there says nothing.
         return SLOW if 4 * self.balancer.rng.random() < likely else 0
 
     def slow(self, now: float, server: Server, seconds: float) -> None:
@@ -271,7 +288,7 @@
     def reach(self, now: float, flow: Flow) -> float:
         """How many servers round the ring a flow may look at."""
         # Danger: every server that holds any of a group pays for it; without room each step aside costs more.
-        steps = 1 + self.balancer.members.get(flow.spot, 0) // max(1.0, self.balancer.mean())
+        steps = 1 + self.balancer.groups.count.get(flow.spot, 0) // max(1.0, self.balancer.mean())
         return steps if self.short(now) else inf
 
     def relieve(self, now: float, server: Server, lateness: float) -> None:
@@ -299,66 +316,30 @@
             self.strained_until = max(self.strained_until, connect.server.dropping_until)
 
 
-class Pace(Stage):
+class Pace(Stage["Balancer"]):
     """Refills a server whose strain has ended by a trickle that doubles."""
 
     # Danger: every proxy sees it fit in the same second and sends it all who wait; it drops them soon after.
 
-    def recent(self, now: float, server: Server) -> float:
-        return server.recent * exp((server.recent_at - now) / self.terms.fall_time)
-
     def avoids(self, now: float, flow: Flow, server: Server) -> int:
         calm = min(64.0, (now - max(server.slow_until, server.dropping_until)) / (2 * NEWS_PERIOD))
-        return HARMFUL if self.recent(now, server) >= 2**calm and not flow.midflow else 0
+        recent = server.recent.value(now, self.terms.fall_time)
+        return HARMFUL if recent >= 2**calm and not flow.midflow else 0
 
     def onward(self, now: float, flow: Flow) -> bool:
-        flow.target.recent, flow.target.recent_at = self.recent(now, flow.target) + 1, now
+        flow.target.recent.add(now, self.terms.fall_time)
         return True
 
 
-class Ring(Stage):
+class Placement(Stage["Balancer"]):
     """The owner of the flow's arc, or the next distinct server that no stage speaks against."""
 
     def __init__(self, balancer: Balancer) -> None:
         super().__init__(balancer)
-        self.points: list[int] = []
-        self.owners: dict[int, Server] = {}  # by their points
-        self.servers: dict[Server, None] = {}
         self.forbid: list[Callable[[float, Flow, Server], bool]] = []  # of the stages that have a say
         self.avoid: list[Callable[[float, Flow, Server], int]] = []
         self.usual = 0.0  # held on a warm server, as the present flow finds it
 
-    def build(self, servers: list[Server]) -> None:
-        """Danger: with hundreds of servers a full sort at each change costs more than all flows."""
-        fresh, kept = dict.fromkeys(servers), len(self.points)
-        for server in [s for s in self.servers if s not in fresh]:
-            for point in server.points:
-                self.owners.pop(point, None)
-        if len(self.owners) < kept:
-            self.points = [point for point in self.points if point in self.owners]
-        come = [s for s in fresh if s not in self.servers]
-        for server in come:
-            self.owners.update(dict.fromkeys(server.points, server))
-            self.points += server.points
-        if come:
-            self.points.sort()
-        self.servers = fresh
-
-    def owner(self, spot: int) -> Server | None:
-        return self.owners[self.points[bisect_right(self.points, spot) - 1]] if self.points else None
-
-    def round(self, spot: int) -> Iterator[Server]:
-        """The distinct servers from the spot's owner on."""
-        start = bisect_right(self.points, spot) - 1
-        seen: set[Server] = set()
-        for i in range(start, start + len(self.points)):
-            server = self.owners[self.points[i % len(self.points)]]
-            if server not in seen:
-                seen.add(server)
-                yield server
-                if len(seen) == len(self.servers):
-                    return
-
     def avoids(self, now: float, flow: Flow, server: Server) -> int:  # the paper's ring with our skip
         # Danger: those who come back in waves pile up on the one server that nobody sees strained.
         count, share = server.held + server.others, server.size / self.balancer.usual_size * self.usual
@@ -370,9 +351,9 @@
     def onward(self, now: float, flow: Flow) -> bool:
         target, least, self.usual = None, HARMFUL, self.balancer.usual()
         # Danger: each proxy finds a displaced group a home of its own, and every one pays for the group.
-        home = self.balancer.home_told_of(now, flow.spot) or self.balancer.homes.get(flow.spot)
+        home = self.balancer.groups.server_of(now, flow.spot)
         steps = self.balancer.strain.reach(now, flow)
-        for server in chain([home] if home else [], self.round(flow.spot)):
+        for server in chain([home] if home else [], self.balancer.ring.round(flow.spot)):
             if any(forbids(now, flow, server) for forbids in self.forbid):
                 continue
             against = max(avoids(now, flow, server) for avoids in self.avoid)
@@ -389,42 +370,79 @@
         return True
 
 
-class Gate(Stage):
-    """Caps the connects out while most of them fail wherever they go."""
+class ConcurrencyLimiter(Stage["Balancer"]):
+    """Limits the attempts out at once to what is answered in time; other flows wait for their turn."""
 
     # Danger: something shared stands behind the servers; once late, repeats keep it late after its cause.
 
-    out, failing, window = 0, 0.0, inf  # connects out; share of them that failed lately; how many may be out
+    def __init__(self, balancer: Balancer) -> None:
+        super().__init__(balancer)
+        self.out, self.limit = 0, max(1.0, FLEET_START / self.terms.proxies)  # attempts out; how many may be
+        self.timely_ends, self.late_ends, self.halved_at = FadingCount(), FadingCount(), 0.0
+        self.paused_until = 0.0  # a limit below one attempt is a pause after each
+        self.retry_budget = min(1.0, RETRY_BURST / self.terms.proxies)
+        self.queue: dict[Flow, None] = {}
+
+    def is_open(self, now: float) -> bool:
+        return now >= self.paused_until and self.out < self.limit
 
     def onward(self, now: float, flow: Flow) -> bool:
-        if self.out + self.balancer.rng.random() >= self.window and (flow.connects or not flow.midflow):
-            return self.balancer.give_up(flow)
-        self.out += 1
-        return True
+        if self.is_open(now) or (flow.midflow and not flow.connects):
+            return True
+        self.queue[flow] = None
+        return False
+
+    def admit(self, now: float) -> None:
+        while self.queue and self.is_open(now):
+            newest, _ = self.queue.popitem()  # Danger: the oldest may no longer be answered in time.
+            self.balancer.place(now, newest)
 
     def stands(self, now: float, connect: Connect, delay: float) -> None:
-        self.out -= 1
-        self.failing -= LEARNING * self.failing
-        self.window += min(1.0, self.window)
-        if self.window < inf and self.failing < LEARNING / 2:
-            self.window = inf
-            self.balancer.host.log("gate open: connects are answered again")
+        self.retry_budget = min(RETRY_BURST, max(0.0, self.retry_budget) + LEARNING)
+        kind = connect.flow.service_type
+        if delay > kind.connect_timeout / 2:
+            self.late(now, connect)
+        else:
+            self.timely_ends.add(now, kind.connect_timeout)
+            if delay <= kind.setup_target and self.out >= self.limit:
+                if self.limit < 1 <= 2 * self.limit:
+                    self.balancer.host.log("gate open: connects are answered again")
+                self.limit += min(1.0, self.limit)
+        self.freed()
 
     def back(self, now: float, connect: Connect, end: End, delay: float) -> None:
         if connect.established:
             return
+        if end in (End.ERROR, End.TIMEOUT, End.CANCELLED):
+            self.late(now, connect)
+        self.freed()
+
+    def freed(self) -> None:
         self.out -= 1
-        if end not in (End.ERROR, End.TIMEOUT, End.CANCELLED):
+        if self.queue:
+            self.balancer.host.alarm(0.0, self.admit)
+
+    def late(self, now: float, connect: Connect) -> None:
+        """Halves the limit, once for all that was sent before; the floor is one attempt in the fleet."""
+        timeout = connect.flow.service_type.connect_timeout
+        self.late_ends.add(now, timeout)
+        if not self.is_congested(now, timeout) or connect.sent < self.halved_at:
             return
-        self.failing += LEARNING * (1 - self.failing)
-        if self.failing > MOST:
-            if self.window == inf:
-                self.balancer.host.log("gate narrows: most connects fail, whichever server they go to")
-            self.window = max(LEARNING, min(self.window, self.out) / 2)
-            self.failing = HALF_OPEN
+        least, before, self.halved_at = min(1.0, FLEET_LEAST / self.terms.proxies), self.limit, now
+        self.limit = max(least, self.limit / 2)
+        if self.limit < 1 <= before:
+            self.balancer.host.log("gate narrows: most connects fail, whichever server they go to")
+        if self.limit < 1:
+            pause = timeout * (1 / self.limit - 1) * self.balancer.rng.uniform(0.5, 1.5)
+            self.paused_until = now + pause
+            self.balancer.host.alarm(pause, self.admit)
+
+    def is_congested(self, now: float, timeout: float) -> bool:
+        """Whether most attempts that ended lately failed or were late, whichever server they went to."""
+        return self.late_ends.value(now, timeout) > self.timely_ends.value(now, timeout)
 
 
-class Launch(Stage):
+class Launch(Stage["Balancer"]):
     """Makes the connect, and says how long to wait for it."""
 
     def onward(self, now: float, flow: Flow) -> bool:
@@ -433,13 +451,14 @@
         flow.may_have_run = flow.may_have_run or connect
         connect.server.waiting[connect] = None
         self.balancer.hold(connect.server, 1)
+        self.balancer.limiter.out += 1
         self.balancer.host.connect(flow, connect.server, self.wait(now, flow))
         return True
 
     def wait(self, now: float, flow: Flow) -> float:
         left = flow.give_up_at - self.balancer.margin - now
-        if len(flow.connects) >= flow.service_type.max_connects or self.balancer.gate.failing > HALF_OPEN:
-            return left  # Danger: what is shared is late; an early time-out asks it twice.
+        if len(flow.connects) >= flow.service_type.max_connects or self.balancer.limiter.retry_budget < 1:
+            return left  # Danger: where what is shared is late, an early time-out asks it twice.
         return min(max(flow.service_type.setup_target, 4 * self.balancer.gap), left / 2)
 
     def stands(self, now: float, connect: Connect, delay: float) -> None:
@@ -448,7 +467,7 @@
 
     def back(self, now: float, connect: Connect, end: End, delay: float) -> None:
         connect.over, connect.flow.midflow = True, False  # whatever held it, it is set up anew from here on
-        self.balancer.leave(connect.flow)
+        self.balancer.groups.leave(connect.flow)
         connect.server.waiting.pop(connect, None)
         self.balancer.hold(connect.server, -1)
         if connect.flow.may_have_run is connect and end in NEVER_RAN:
@@ -472,31 +491,39 @@
         self.keeper: Any = None  # the number of the proxy that sums what all hold, if one does
         self.keeper_at, self.summed = 0.0, False  # when it last said so; whether `others` is by its sums
         self.begun, self.whole_at = -1.0, 0.0  # when the first list came; when it tells all it holds again
-        self.served = self.served_at = self.borne = 0.0  # ends that were well, fading; most held, by size
+        self.served, self.borne = FadingCount(), 0.0  # ends that were well; most held, by size
         self.running: list[Callable[[float], None]] = []  # what goes on by alarms of its own
         self.failures, self.stop_at = 0, inf  # calls for the list that failed in a row; end of a planned stop
-        self.ring = Ring(self)
-        self.homes: dict[int, Server] = {}  # where displaced groups went, by their place on the ring
+        self.ring, self.placement = HashRing(), Placement(self)
+        self.groups = GroupMembers()
         self.untold: dict[int, Server] = {}  # new ones that are told soon, if no other proxy tells them first
-        self.homes_told: dict[int, tuple[Server, float]] = {}  # as other proxies say, and until when it holds
-        self.members: dict[int, int] = {}  # established flows of each group here
-        self.promise, self.cold, self.strain, self.gate = Promise(self), Cold(self), Strain(self), Gate(self)
-        self.chain: list[Stage] = [
-            self.promise, self.ring, Drain(self), Effects(self), self.cold, Health(self), self.strain,
-            Pace(self), self.gate, Launch(self),
-        ]
-        self.ring.forbid = [s.forbids for s in self.chain if type(s).forbids is not Stage.forbids]
-        self.ring.avoid = [s.avoids for s in self.chain if type(s).avoids is not Stage.avoids]
+        self.promise, self.limiter = Promise(self), ConcurrencyLimiter(self)
+        self.cold, self.strain = Cold(self), Strain(self)
+        self.chain: list[Stage[Balancer]] = [self.promise, self.limiter, self.placement, Drain(self)]
+        self.chain += [Effects(self), self.cold, Health(self), self.strain, Pace(self), Launch(self)]
+        self.placement.forbid = [s.forbids for s in self.chain if type(s).forbids is not Stage.forbids]
+        self.placement.avoid = [s.avoids for s in self.chain if type(s).avoids is not Stage.avoids]
 
     def flow(
-        self, now: float, handle: Any, kind: ServiceType, key: int | None, group: int | None,
-        give_up_at: float, midflow: bool, returned: bool, server: Server | None = None,
+        self,
+        now: float,
+        handle: Any,
+        kind: ServiceType,
+        key: int | None,
+        group: int | None,
+        give_up_at: float,
+        midflow: bool,
+        returned: bool,
+        server: Server | None = None,
     ) -> Flow:
         named = b"group %d" % group if group is not None else b"key %d" % key if key is not None else b""
         spot = place_on_ring(named) if named else self.rng.getrandbits(128)
         flow = Flow(handle, kind, spot, group is not None, min(give_up_at, self.stop_at), midflow, returned)
         if server is None:
             self.place(now, flow)
+            if not flow.answered:
+                left = max(0.0, flow.give_up_at - self.margin - now)
+                self.host.alarm(left, partial(self.promise.expire, flow=flow))
         else:
             flow.connects.append(Connect(flow, server, now))
             self.hold(server, 1)
@@ -528,8 +555,7 @@
 
     def tell_held(self, now: float) -> None:
         """Tells the other proxies what has changed here, and whole now and then, as some may be lost."""
-        # Danger: where each of many holds a few connections, nobody sees a server fill up. If each told all,
-        # the price would grow by the square of them: so one of them, the keeper, sums for all who hear of it.
+        # Danger: if each told all, the price would grow by their square: one of them, the keeper, sums.
         self.tell_changes(now)
         for peer in [p for p, at in self.peers.items() if p != self.keeper and now > at + KEPT * NEWS_PERIOD]:
             self.forget(peer)
@@ -552,9 +578,7 @@
         self.whole_at = now + WHOLE_EVERY * NEWS_PERIOD if whole else self.whole_at
         self.keeper_at = now if keeps else self.keeper_at
 
-    def held_told(
-        self, now: float, peer: Any, held: Iterable[tuple[Server, int]], whole: bool, summed: bool = False
-    ) -> None:
+    def held_told(self, now: float, peer: Any, held: Counts, whole: bool, summed: bool = False) -> None:
         if summed or (self.summed and self.hears_keeper(now)):  # Danger: what sums have would count twice.
             return self.sum_told(now, peer, dict(held), whole) if summed else None
         if self.keeper == self.terms.number and self.hears_keeper(now) and peer not in self.peers:
@@ -608,10 +632,10 @@
     def between_probes(self, now: float, server: Server) -> float:
         return NEWS_PERIOD * (3 if now >= max(server.slow_until, self.begun + 4 * NEWS_PERIOD) else 1)
 
-    def served_rate(self, now: float) -> float:
-        """Connections a second that ended well lately: what the servers carry, whatever storms arrive."""
-        span, watched = self.terms.ramp_time, max(now - self.begun, self.terms.fall_time)
-        return self.served * exp((self.served_at - now) / span) / (span * (1 - exp(-watched / span)))
+    def rate(self, now: float, events: FadingCount) -> float:
+        """Events a second lately, in a count that fades over a slow start."""
+        watched = max(now - self.begun, self.terms.fall_time)
+        return events.rate(now, self.terms.ramp_time, watched)
 
     def place(self, now: float, flow: Flow) -> None:
         all(stage.onward(now, flow) for stage in self.chain)  # up to the one that keeps or ends it
@@ -630,11 +654,12 @@
 
     def stop(self, now: float) -> None:
         """A planned stop: all that stands here, or soon will, is moved one by one while others take it up."""
-        self.stop_at = now + self.terms.leave_within
+        self.stop_at, waiting = now + self.terms.leave_within, list(self.limiter.queue)
         for server in self.servers.values():
             self.dismiss(now, *chain.from_iterable(server.groups.values()))
-            for flow in [*(c.flow for c in server.waiting), *server.asking]:  # Danger: left unanswered.
-                self.host.alarm(self.terms.leave_within, partial(self.promise.expire, flow=flow))
+            waiting += [*(connect.flow for connect in server.waiting), *server.asking]
+        for flow in waiting:  # Danger: left unanswered.
+            self.host.alarm(self.terms.leave_within, partial(self.promise.expire, flow=flow))
 
     def begin(self) -> None:
         """What is permitted starts, if it does not run yet; what no longer is, the host leaves undone."""
@@ -672,7 +697,7 @@
 
     def send_off(self, flow: Flow) -> None:
         self.host.move(flow)
-        self.leave(flow)
+        self.groups.leave(flow)
         flow.answered = True
 
     def hold(self, server: Server, change: int) -> None:
@@ -684,50 +709,27 @@
     def settle(self, now: float, connect: Connect) -> None:
         connect.established = True
         spot, server = connect.flow.spot, connect.server
-        self.members[spot] = self.members.get(spot, 0) + 1
-        if server is not self.ring.owner(spot):
-            self.homes[spot] = server
-            if connect.flow.grouped and self.terms.sums:
-                usual = (s for s in self.ring.round(spot) if s.condition is Condition.READY)
-                if server is not (self.home_told_of(now, spot) or next(usual, None)):
-                    if not self.untold:
-                        self.host.alarm(NEWS_PERIOD / 4 * self.rng.random(), self.tell_homes)
-                    self.untold[spot] = server
-        server.groups.setdefault(spot, {})[connect.flow] = None
+        is_owner = server is self.ring.owner(spot)
+        self.groups.join(connect.flow, server, is_owner)
+        if not is_owner and connect.flow.grouped and self.terms.sums:
+            usual = (s for s in self.ring.round(spot) if s.condition is Condition.READY)
+            if server is not (self.groups.reported_server(now, spot) or next(usual, None)):
+                if not self.untold:
+                    self.host.alarm(NEWS_PERIOD / 4 * self.rng.random(), self.tell_homes)
+                self.untold[spot] = server
         if self.due(connect.flow) < inf:
             self.dismiss(now, connect.flow)
 
     def tell_homes(self, now: float) -> None:
         untold, self.untold = self.untold, {}
-        homes = [(spot, s) for spot, s in untold.items() if self.home_told_of(now, spot) is not s]
+        homes = [(spot, s) for spot, s in untold.items() if self.groups.reported_server(now, spot) is not s]
         for spot, server in homes:
             self.home_told(now, spot, server)
         if homes:
             self.host.tell_homes(homes)
 
     def home_told(self, now: float, spot: int, server: Server) -> None:
-        """Another proxy found a home for a displaced group, whose place on the ring is told in four bytes."""
-        self.homes_told.pop(spot >> SPOT_CUT, None)
-        self.homes_told[spot >> SPOT_CUT] = server, now + self.terms.ramp_time
-        if len(self.homes_told) > MOST_HOMES:
-            del self.homes_told[next(iter(self.homes_told))]
-
-    def home_told_of(self, now: float, spot: int) -> Server | None:
-        server, until = self.homes_told.get(spot >> SPOT_CUT, (None, 0.0))
-        return server if server and now < until and server.condition is Condition.READY else None
-
-    def leave(self, flow: Flow) -> None:
-        """The flow's connection no longer counts for its group."""
-        groups = flow.connects[-1].server.groups
-        if flow in groups.get(flow.spot, ()):
-            del groups[flow.spot][flow]
-            self.members[flow.spot] -= 1
-            if not self.members[flow.spot]:
-                del self.members[flow.spot]
-            if not groups[flow.spot]:
-                del groups[flow.spot]
-                if self.homes.get(flow.spot) is flow.connects[-1].server:
-                    del self.homes[flow.spot]
+        self.groups.report(spot, server, now + self.terms.ramp_time)
 
     def established(self, now: float, flow: Flow, number: int, delay: float) -> None:
         flow.answered = True
@@ -739,13 +741,13 @@
     ) -> None:
         flow.answered = flow.answered or complete
         if end is End.OK:
-            faded = self.served * exp((self.served_at - now) / self.terms.ramp_time)
-            self.served, self.served_at = 1 + faded, now
+            self.served.add(now, self.terms.ramp_time)
         for stage in reversed(self.chain):
             stage.back(now, flow.connects[number], end, delay)
 
     def lapsed(self, now: float, flow: Flow) -> None:
         flow.answered = True
+        self.limiter.queue.pop(flow, None)
 
     def message_time_told(self, now: float, server: Server, seconds: float, measured: bool = False) -> None:
         self.strain.slow(now, server, seconds)
@@ -767,7 +769,7 @@
 
     def list_told(self, now: float, entries: list[Entry], whole: bool) -> None:
         if self.begun < 0:
-            self.begun = self.served_at = self.keeper_at = now
+            self.begun = self.keeper_at = now
             self.begin()
             if not self.terms.push:
                 self.host.follow_list()
--- /dev/null
+++ b/brambleplank/group_members.py
@@ -0,0 +1,54 @@
+"""Where the members of each group stand: here, and by the reports of other processes. It decides nothing."""
+
+from __future__ import annotations
+
+from brambleplank.host import Condition
+from brambleplank.records import SPOT_CUT, Flow, Server
+
+MAX_REPORTED = 4096  # groups of which the reported server is kept
+
+
+class GroupMembers:
+    """The established requests of each group, by its place on the ring; the servers of displaced groups."""
+
+    def __init__(self) -> None:
+        self.count: dict[int, int] = {}  # established here
+        self.displaced: dict[int, Server] = {}  # the server of groups that do not stand at their owner
+        self.reported: dict[int, tuple[Server, float]] = {}  # by other processes, and until when it holds
+
+    def join(self, flow: Flow, server: Server, is_owner: bool) -> None:
+        """An attempt of this request is established at the server."""
+        self.count[flow.spot] = self.count.get(flow.spot, 0) + 1
+        server.groups.setdefault(flow.spot, {})[flow] = None
+        if not is_owner:
+            self.displaced[flow.spot] = server
+
+    def leave(self, flow: Flow) -> None:
+        """The request's connection no longer counts for its group."""
+        server = flow.connects[-1].server
+        if flow not in server.groups.get(flow.spot, ()):
+            return
+        del server.groups[flow.spot][flow]
+        self.count[flow.spot] -= 1
+        if not self.count[flow.spot]:
+            del self.count[flow.spot]
+        if not server.groups[flow.spot]:
+            del server.groups[flow.spot]
+            if self.displaced.get(flow.spot) is server:
+                del self.displaced[flow.spot]
+
+    def report(self, spot: int, server: Server, until: float) -> None:
+        """Another process found a server for a displaced group, whose place is reported in four bytes."""
+        self.reported.pop(spot >> SPOT_CUT, None)
+        self.reported[spot >> SPOT_CUT] = server, until
+        if len(self.reported) > MAX_REPORTED:
+            del self.reported[next(iter(self.reported))]
+
+    def server_of(self, now: float, spot: int) -> Server | None:
+        """Where a displaced group stands; a report goes before what is known here."""
+        return self.reported_server(now, spot) or self.displaced.get(spot)
+
+    def reported_server(self, now: float, spot: int) -> Server | None:
+        """The reported server of a displaced group, while the report holds and the server is ready."""
+        server, until = self.reported.get(spot >> SPOT_CUT, (None, 0.0))
+        return server if server and now < until and server.condition is Condition.READY else None
--- a/brambleplank/platform/estate.py
+++ b/brambleplank/platform/estate.py
@@ -9,7 +9,6 @@
 
 from collections.abc import Callable, Collection
 from dataclasses import dataclass, field
-from math import inf, isfinite
 from typing import Any, TypeVar
 
 from brambleplank.checks import UnfitError, address, need
@@ -31,15 +30,13 @@
     "silence",
     "pause",
     "retry_at",
-    "recent",
-    "recent_at",
     "slow_until",
     "late_until",
     "dropping_until",
     "told_at",
 )
 COUNTS = ("trickle", "cold_slot", "cold_sent")
-OF_ALL = ("gap", "served", "served_at", "begun")  # of the balancer
+OF_ALL = ("gap", "begun")  # of the balancer
 Value = TypeVar("Value")
 
 
@@ -56,12 +53,13 @@
     serving: bool = False
     started: float = 0.0
     of_all: dict[str, float] = field(default_factory=dict)
-    failing: float = 0.0
-    window: float = inf
+    served: tuple[float, float] = (0.0, 0.0)  # ends that were well, fading, and when
+    limit: float = 1.0  # of attempts out at once
     homes: list[tuple[int, str, float]] = field(default_factory=list)  # place on the ring, server, until when
     ids: list[str] = field(default_factory=list)
     times: dict[str, dict[str, float]] = field(default_factory=dict)  # by server
     counts: dict[str, dict[str, int]] = field(default_factory=dict)
+    recent: dict[str, tuple[float, float]] = field(default_factory=dict)  # attempts, fading, and when
     delays: dict[str, list[float]] = field(default_factory=dict)
     usual: dict[str, float] = field(default_factory=dict)
 
@@ -73,8 +71,8 @@
     addresses = {s.id: where for s in servers.values() if (where := reach_of(s).address)}
     entries = [e for e in rotation.listed.values() if e[3] is not Condition.GONE and e[0] in addresses]
     until = now + MOVING * proxy.terms.leave_within
-    homes = {spot >> SPOT_CUT: (server.id, until) for spot, server in balancer.homes.items()}
-    told = {spot: (server.id, at) for spot, (server, at) in balancer.homes_told.items() if at > now}
+    homes = {spot >> SPOT_CUT: (server.id, until) for spot, server in balancer.groups.displaced.items()}
+    told = {spot: (server.id, at) for spot, (server, at) in balancer.groups.reported.items() if at > now}
     return {
         "list": written(discovery.newest, entries, addresses),
         "discovery": text_of(discovery.address),
@@ -85,8 +83,8 @@
         "serving": proxy.serving,
         "started": proxy.started,
         "all": {name: getattr(balancer, name) for name in OF_ALL},
-        "failing": balancer.gate.failing,
-        "window": balancer.gate.window if isfinite(balancer.gate.window) else None,
+        "served": [balancer.served.count, balancer.served.at],
+        "limit": balancer.limiter.limit,
         "homes": [[spot, *home] for spot, home in {**told, **homes}.items()],
         "ids": [*proxy.door.used_ids, *proxy.door.open_ids],
         "servers": {s.id: of_server(s) for s in servers.values()},
@@ -97,6 +95,7 @@
     reach = reach_of(server)
     return {
         **{name: getattr(server, name) for name in (*TIMES, *COUNTS)},
+        "recent": [server.recent.count, server.recent.at],
         "delays": reach.delays[-DELAYS:],
         "usual": reach.usual_told,
     }
@@ -118,7 +117,7 @@
     for key in ("draining", "serving"):
         need(value(key), f"estate.{key}", bool)
     need(value("all"), "estate.all", dict)
-    window, homes = value("window"), items(value("homes"), "estate.homes")
+    homes = items(value("homes"), "estate.homes")
     estate = Estate(
         listed=listed,
         discovery=address(value("discovery"), "estate.discovery"),
@@ -129,8 +128,8 @@
         serving=value("serving"),
         started=number(value("started"), "estate.started"),
         of_all={name: number(value("all").get(name), f"estate.all.{name}", -1) for name in OF_ALL},
-        failing=number(value("failing"), "estate.failing"),
-        window=inf if window is None else number(window, "estate.window"),
+        served=two(value("served"), "estate.served"),
+        limit=number(value("limit"), "estate.limit"),
         homes=[home(item, f"estate.homes[{i}]") for i, item in enumerate(homes)],
         ids=texts(value("ids"), "estate.ids"),
     )
@@ -138,6 +137,7 @@
         at = f"estate.servers.{name:.40}"
         estate.times[name] = {key: number(server.get(key), f"{at}.{key}") for key in TIMES}
         estate.counts[name] = {key: whole(server.get(key), f"{at}.{key}") for key in COUNTS}
+        estate.recent[name] = two(server.get("recent"), f"{at}.recent")
         delays = items(server.get("delays"), f"{at}.delays")[-DELAYS:]
         estate.delays[name] = [number(delay, f"{at}.delays") for delay in delays]
         estate.usual[name] = number(server.get("usual"), f"{at}.usual")
@@ -196,15 +196,17 @@
     proxy.started, proxy.serving = estate.started, estate.serving
     for name, value in estate.of_all.items():
         setattr(balancer, name, value)
-    balancer.gate.failing, balancer.gate.window = estate.failing, estate.window
+    balancer.served.count, balancer.served.at = estate.served
+    balancer.limiter.limit = estate.limit
     for server in balancer.servers.values():
         for name, value in {**estate.times.get(server.id, {}), **estate.counts.get(server.id, {})}.items():
             setattr(server, name, value)
+        server.recent.count, server.recent.at = estate.recent.get(server.id, (0.0, 0.0))
         reach = reach_of(server)
         reach.delays, reach.usual_told = estate.delays.get(server.id, []), estate.usual.get(server.id, 0.0)
     for spot, server_id, until in estate.homes:
         if server_id in balancer.servers:
-            balancer.homes_told[spot] = balancer.servers[server_id], until
+            balancer.groups.reported[spot] = balancer.servers[server_id], until
     for server_id in estate.out:
         if server_id in balancer.servers:
             balancer.empty(now, balancer.servers[server_id])  # what stands there comes along, and is moved
--- a/brambleplank/records.py
+++ b/brambleplank/records.py
@@ -4,7 +4,7 @@
 
 import hashlib
 from functools import partial
-from math import inf
+from math import exp, inf
 from typing import Any
 
 from brambleplank.host import Condition, ServiceType
@@ -23,6 +23,23 @@
     return int.from_bytes(md5(text).digest(), "big")
 
 
+class FadingCount:
+    """A count of events, each of which counts for less as time passes: by a factor of e in each period."""
+
+    def __init__(self) -> None:
+        self.count, self.at = 0.0, 0.0
+
+    def value(self, now: float, period: float) -> float:
+        return self.count * exp((self.at - now) / period)
+
+    def add(self, now: float, period: float) -> None:
+        self.count, self.at = self.value(now, period) + 1, now
+
+    def rate(self, now: float, period: float, watched: float) -> float:
+        """Events a second, where counting began that many seconds ago."""
+        return self.value(now, period) / (period * (1 - exp(-watched / period)))
+
+
 class Server:
     """The one record of a server."""
 
@@ -46,7 +63,8 @@
         self.started = at
         self.gap = self.silence = 0.0  # usual time to an answer; waiting without one since the last
         self.trickle, self.dead = 0, False  # connects at once while set aside, else 0; whether it only fails
-        self.pause = self.retry_at = self.recent = self.recent_at = 0.0  # recent: connects there, fading
+        self.pause = self.retry_at = 0.0
+        self.recent = FadingCount()  # connects there
         self.slow_until = self.late_until = self.dropping_until = self.probe_at = self.told_at = 0.0
         self.cold_slot, self.cold_sent = -1, 0  # sent in a slot, or dealt out by the keeper
         self.elsewhere, self.others = {}, 0
--- /dev/null
+++ b/brambleplank/stage.py
@@ -0,0 +1,42 @@
+"""One stage of the chain that a request passes on its way to a server, and its attempts on their way back."""
+
+from __future__ import annotations
+
+from typing import Generic, Protocol, TypeVar
+
+from brambleplank.host import End, Terms
+from brambleplank.records import Connect, Flow, Server
+
+
+class HasTerms(Protocol):
+    """What a stage needs of the balancer by itself."""
+
+    terms: Terms
+
+
+BalancerT = TypeVar("BalancerT", bound=HasTerms)
+
+
+class Stage(Generic[BalancerT]):
+    """One step of the chain; what a stage leaves out passes everything on."""
+
+    def __init__(self, balancer: BalancerT) -> None:
+        self.balancer, self.terms = balancer, balancer.terms
+
+    def onward(self, now: float, flow: Flow) -> bool:
+        """True passes the flow on; False keeps or ends it."""
+        return True
+
+    def forbids(self, now: float, flow: Flow, server: Server) -> bool:
+        """Whether a rule forbids the server."""
+        return False
+
+    def avoids(self, now: float, flow: Flow, server: Server) -> int:
+        """How strongly evidence speaks against the server: 0 is not at all."""
+        return 0
+
+    def stands(self, now: float, connect: Connect, delay: float) -> None:
+        """The attempt is established."""
+
+    def back(self, now: float, connect: Connect, end: End, delay: float) -> None:
+        """The attempt is over."""
--- /dev/null
+++ b/tests/test_overload.py
@@ -0,0 +1,168 @@
+"""Whole fleets in virtual time before servers that share one store: what all do together when it is late."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import replace
+from heapq import heappop, heappush
+from itertools import count
+from random import Random
+
+import pytest
+
+from brambleplank import records
+from brambleplank.decide import Balancer
+from brambleplank.host import Condition, End
+from brambleplank.records import Flow
+from tests.conftest import FEED, TERMS, Hearing
+
+PROCESSES, SERVERS, SESSIONS = 200, 40, 1000
+STORE_RATE = 120.0  # calls a second that it answers, one after another
+DELAY = 0.03  # seconds of an attempt beside the store's
+SURGE = 360  # sessions that are cut off in one instant
+STEP = 1.6  # seconds between two tenths of the processes that are restarted
+LONGEST_PAUSE = 1.0
+
+
+class Member(Hearing):
+    """One process. Its attempts stand once the store has answered; given up on, their calls stay queued."""
+
+    def __init__(self, fleet: SharedStore, number: int, peers: bool) -> None:
+        self.fleet = fleet
+        self.unanswered: set[Flow] = set()
+        kinds = {"feed": replace(FEED, max_connects=5)}
+        changes = {"longest_pause": LONGEST_PAUSE, "service_types": kinds, "peers": peers, "measures": peers}
+        super().__init__(servers=SERVERS, seed=number, proxies=PROCESSES, number=number, **changes)
+
+    def alarm(self, delay: float, call: Callable[[float], None]) -> None:
+        process = getattr(self, "proxy", None)
+        self.fleet.later(delay, lambda: self.ring(process, call))
+
+    def ring(self, process: Balancer | None, call: Callable[[float], None]) -> None:
+        if process in (None, self.proxy):  # else it has ended since
+            self.now = self.fleet.now
+            call(self.now)
+
+    def connect(self, flow: Flow, server: records.Server, max_wait: float) -> None:
+        process, number = self.proxy, len(flow.connects) - 1
+        self.fleet.attempts.append(self.fleet.now)
+        self.fleet.later(self.fleet.answered_in(), lambda: self.answer(process, flow, number))
+        self.fleet.later(max_wait, lambda: self.give_up(process, flow, number, End.TIMEOUT))
+
+    def withdraw(self, flow: Flow, number: int) -> None:
+        process = self.proxy
+        self.fleet.later(0.0, lambda: self.give_up(process, flow, number, End.CANCELLED))
+
+    def is_out(self, process: Balancer, flow: Flow, number: int) -> bool:
+        self.now = self.fleet.now
+        attempt = flow.connects[number]
+        return process is self.proxy and not (attempt.over or attempt.established)
+
+    def arrive(self, key: int) -> None:
+        self.now = self.fleet.now
+        flow = self.come(key, returned=True)
+        if not flow.answered:
+            self.unanswered.add(flow)
+
+    def answer(self, process: Balancer, flow: Flow, number: int) -> None:
+        if self.is_out(process, flow, number):
+            process.established(self.now, flow, number, self.now - flow.connects[number].sent)
+            self.unanswered.discard(flow)
+            self.fleet.sessions.append((self, flow))
+
+    def give_up(self, process: Balancer, flow: Flow, number: int, end: End) -> None:
+        if self.is_out(process, flow, number):
+            process.connect_ended(self.now, flow, number, end, self.now - flow.connects[number].sent, False)
+
+    def reject(self, flow: Flow, pause: float) -> None:
+        self.unanswered.discard(flow)
+        self.fleet.comes_again(pause)
+
+    def probe(self, server: records.Server) -> None:
+        """Its answers would say that all is well."""
+
+
+class SharedStore:
+    """A fleet, its clients, and the store, whose queue is served in order whoever still waits."""
+
+    def __init__(self, seed: int, peers: bool) -> None:
+        self.now, self.rng, self.order = 400_000.0, Random(seed), count()
+        self.events: list[tuple[float, int, Callable[[], None]]] = []
+        self.busy_until, self.keys = 0.0, count()
+        self.attempts: list[float] = []
+        self.sessions: list[tuple[Member, Flow]] = []
+        self.members = [Member(self, number, peers) for number in range(PROCESSES)]
+        for member in self.members if peers else []:
+            member.others = [other for other in self.members if other is not member]
+
+    def later(self, delay: float, call: Callable[[], None]) -> None:
+        heappush(self.events, (self.now + delay, next(self.order), call))
+
+    def run(self, seconds: float) -> None:
+        until = self.now + seconds
+        while self.events and self.events[0][0] <= until:
+            self.now, _, call = heappop(self.events)
+            call()
+        self.now = until
+
+    def answered_in(self) -> float:
+        self.busy_until = max(self.busy_until, self.now) + 1 / STORE_RATE
+        return self.busy_until - self.now + DELAY
+
+    def come(self) -> None:
+        self.rng.choice(self.members).arrive(next(self.keys))
+
+    def comes_again(self, pause: float) -> None:
+        """Half of the clients heed the pause that they are told."""
+        heeded = pause if self.rng.random() < 0.5 else 0.0
+        self.later(heeded + self.rng.uniform(0.02, 0.1), self.come)
+
+    def begin(self) -> None:
+        """All sessions stand before the first fault, as on a quiet day."""
+        for number in range(SESSIONS):
+            self.later(number * 25 / SESSIONS, self.come)
+        self.run(30.0)
+        assert len(self.sessions) == SESSIONS
+
+    def cut_off(self, number: int) -> None:
+        for member, flow in [self.sessions.pop() for _ in range(number)]:
+            member.now = self.now
+            member.end(flow, End.RESET)
+            self.later(self.rng.uniform(0.0, 0.5), self.come)
+
+    def restart(self, member: Member) -> None:
+        """A process that starts again knows the list alone; its clients come again soon."""
+        member.now = self.now
+        terms = member.proxy.terms
+        member.proxy = Balancer(member, terms, 1000 + terms.number)
+        member.told({f"10.0.0.{n}:80": Condition.READY for n in range(SERVERS)}, whole=True)
+        stood = [each for each in self.sessions if each[0] is member]
+        self.sessions = [each for each in self.sessions if each[0] is not member]
+        for _ in [*stood, *member.unanswered]:
+            self.later(self.rng.uniform(0.0, 0.7), self.come)
+        member.unanswered.clear()
+
+    def restart_all(self) -> list[int]:
+        """A tenth at a time; how many sessions stand at the end of each step."""
+        standing = []
+        for tenth in range(10):
+            for member in self.members[tenth::10]:
+                self.restart(member)
+            self.run(STEP)
+            standing.append(len(self.sessions))
+        return standing
+
+
+@pytest.mark.parametrize("peers", [False, True])
+@pytest.mark.parametrize("seed", [1, 2])
+def test_a_store_that_falls_behind_while_all_restart_is_not_kept_late_by_attempts(
+    seed: int, peers: bool
+) -> None:
+    fleet = SharedStore(seed, peers)
+    fleet.begin()
+    fleet.cut_off(SURGE)
+    standing = fleet.restart_all()
+    # A surge is answered within some seconds; what the restarts move is half of what the store takes.
+    assert min(standing[4:]) > 0.75 * SESSIONS, standing
+    fleet.run(2 * TERMS.leave_within)
+    assert len(fleet.sessions) > 0.98 * SESSIONS
