--- a/brambleplank/decide.py
+++ b/brambleplank/decide.py
@@ -24,7 +24,7 @@
 
 BOUND_FACTOR, BOUND_SPARE = 2, 2  # an owner is full at twice the mean count plus two
 FULL, SLOW, HARMFUL = 1, 2, 3  # how strongly evidence speaks against a server
-TRUSTED, MEAN_GRANTED = 8, 2 / 3  # attempts that went well, doubling, until trust; of a cold server's budget
+TRUSTED = 8  # connects in a row that went well, doubling from one, before a server is trusted again
 NEVER_RAN, NO_FAULT = (End.FULL, End.UNREACHABLE, End.MOOT), (End.OK, End.CANCELLED, End.MOOT)
 NO_FAULT_IF_SHARED = (*NO_FAULT, End.ERROR, End.TIMEOUT)
 TOO_UNUSUAL, LEARNING = 3.0, 1 / 8  # a silence that one gap in 1,000 outlasts; weight of the newest
@@ -34,6 +34,7 @@
 ASKED, LEAST_TOLD, KEPT = 2, 1 / 8, 3  # the word for a turn; least change of a sum told; tellings it holds
 WHOLE_EVERY, MOST_TOLD = 12, 2**21 - 1  # tellings to a whole one; counts told
 ROOM_KEPT, LAST_PART = 1 / 8, 2 / 5  # of the descriptors, for answers and the list; of a stop, for moves
+MEAN_GRANTED, SPREAD, MANY = 2 / 3, 1 / 4, 150  # of a cold budget; tries of each, if spread; processes
 
 
 class Promise(Stage["Balancer"]):
@@ -92,52 +93,39 @@
 
 
 class Cold(Stage["Balancer"]):
-    """Lets a server that has just started have only its budget, by tickets, grants, or the keeper's turns."""
-
-    # Danger: all at once push it over.
-
-    def __init__(self, balancer: Balancer) -> None:
-        super().__init__(balancer)
-        self.visits, self.visits_lately = FadingCount(), FadingCount()  # of flows at servers in slow start
+    """Lets a server that has just started have only its budget, as all together would push it over."""
 
     def forbids(self, now: float, flow: Flow, server: Server) -> bool:
         if not self.cold(now, server) or flow.turn is server:
             return False
         if self.balancer.hears_keeper(now):
             return flow.asked
-        if not self.terms.sums:
-            return not self.granted(now, server)
-        return not self.has_ticket(now, server)
+        return not self.granted(now, server)
 
     def granted(self, now: float, server: Server) -> bool:
-        """By chance, so that all keep within the budget; what is dealt by number lapses with few flows."""
-        budget, visits = self.sustainable(now, server) * MEAN_GRANTED, self.visits_expected(now)
-        if visits >= MEAN_GRANTED:
-            return self.has_ticket(now, server)
-        self.slot(now, server)
-        if server.cold_sent >= max(1, ceil(budget / self.terms.proxies)):
-            return False
-        return self.balancer.rng.random() * self.terms.proxies * visits < max(1.0, budget)
-
-    def has_ticket(self, now: float, server: Server) -> bool:
-        return self.tickets(now, server, [self.terms.number]) > server.cold_sent  # a new slot first
-
-    def visits_expected(self, now: float) -> float:
-        """How often the flows of this process try one server in slow start, in the time in which it falls."""
-        fall, balancer = self.terms.fall_time, self.balancer
-        self.visits.add(now, self.terms.ramp_time)
-        self.visits_lately.add(now, fall)
-        visits = max(balancer.rate(now, self.visits) * fall, self.visits_lately.value(now, fall) - 1)
-        return visits / max(1, len(balancer.ready) - balancer.warm)
+        """By ticket; by chance where flows are spread over several such servers, as most tickets lapse."""
+        tickets, tried = self.tickets(now, server, [self.terms.number]), self.balancer.tried_cold
+        tried.add(now, self.terms.fall_time)
+        tries = tried.value(now, self.terms.fall_time) / max(1, len(self.balancer.ready) - self.balancer.warm)
+        if self.terms.sums or tries >= SPREAD:
+            return tickets > server.cold_sent
+        budget = max(1.0, MEAN_GRANTED * self.sustainable(now, server)) / self.terms.proxies
+        # Danger: one group that moves tries a single server far oftener, at many processes at once.
+        return server.cold_sent <= budget and self.balancer.rng.random() * max(tries, 2 * budget) < budget
 
     def tickets(self, now: float, server: Server, numbers: Iterable[int]) -> int:
         """How many of this slot's the proxies of these numbers have together."""
-        first, budget = server.points[self.slot(now, server) % POINTS], self.budget(now, server)
-        proxies = self.terms.proxies
+        first, proxies = server.points[self.slot(now, server) % POINTS], self.terms.proxies
+        budget = self.budget(now, server) * self.periods()
         return sum(max(0, ceil((budget - (number + first) % proxies) / proxies)) for number in numbers)
 
+    def periods(self) -> int:
+        """Fall times in a slot: where each of many processes rarely has a flow for it, most tokens lapse."""
+        rarely = self.terms.proxies >= MANY and self.balancer.most <= self.balancer.warm
+        return 2 if rarely and not self.terms.peers else 1
+
     def slot(self, now: float, server: Server) -> int:
-        if server.cold_slot != (slot := int((now - server.started) / self.terms.fall_time)):
+        if server.cold_slot != (slot := int((now - server.started) / self.terms.fall_time / self.periods())):
             server.cold_slot, server.cold_sent = slot, 0
         return slot
 
@@ -147,7 +135,7 @@
     def budget(self, now: float, server: Server) -> float:
         """Connects of all proxies in a slot; one harms nobody."""
         most = self.sustainable(now, server)
-        return max(1.0, min(most, most / 2 + sqrt(most)))  # Danger: any time touches two slots, rounded up
+        return max(1.0, most / 2 + sqrt(most))  # Danger: any time touches two slots, rounded up
 
     def sustainable(self, now: float, server: Server) -> float:
         """Connects that it bears at this age in the time in which it falls, by what warm servers bear."""
@@ -157,7 +145,7 @@
         # Danger: what one proxy serves, taken for what each does, is far off where clients are uneven.
         alike = min(self.terms.proxies, max(fleet, stood) / max(1, self.balancer.held))
         stands = stood * server.size / self.balancer.usual_size / self.terms.ramp_time
-        a_second = max(stands, alike * self.balancer.rate(now, self.balancer.served)) * able
+        a_second = max(stands, alike * self.balancer.served_rate(now)) * able
         return self.terms.overload_factor * a_second * self.terms.fall_time / max(1, self.balancer.warm)
 
     def onward(self, now: float, flow: Flow) -> bool:
@@ -492,6 +480,7 @@
         self.keeper_at, self.summed = 0.0, False  # when it last said so; whether `others` is by its sums
         self.begun, self.whole_at = -1.0, 0.0  # when the first list came; when it tells all it holds again
         self.served, self.borne = FadingCount(), 0.0  # ends that were well; most held, by size
+        self.tried_cold = FadingCount()  # how often its flows tried any server in slow start
         self.running: list[Callable[[float], None]] = []  # what goes on by alarms of its own
         self.failures, self.stop_at = 0, inf  # calls for the list that failed in a row; end of a planned stop
         self.ring, self.placement = HashRing(), Placement(self)
@@ -632,10 +621,9 @@
     def between_probes(self, now: float, server: Server) -> float:
         return NEWS_PERIOD * (3 if now >= max(server.slow_until, self.begun + 4 * NEWS_PERIOD) else 1)
 
-    def rate(self, now: float, events: FadingCount) -> float:
-        """Events a second lately, in a count that fades over a slow start."""
-        watched = max(now - self.begun, self.terms.fall_time)
-        return events.rate(now, self.terms.ramp_time, watched)
+    def served_rate(self, now: float) -> float:
+        """Connections a second that ended well lately: what the servers carry, whatever storms arrive."""
+        return self.served.rate(now, self.terms.ramp_time, max(now - self.begun, self.terms.fall_time))
 
     def place(self, now: float, flow: Flow) -> None:
         all(stage.onward(now, flow) for stage in self.chain)  # up to the one that keeps or ends it
