The election keeps a bound: pre-votes, leaders step down, followers are freed

A leader that hears nobody went on as a candidate besides.

Now: a candidacy needs pre-votes of a majority first, which bind nobody; a leader without its majority and a candidate that fails forget their supporters, and their next heartbeats free who followed; a promise counts from when the heartbeat was heard, so it can be said again where an asking is lost. The rule of candidates without success goes, as one that hears nobody no longer becomes a candidate.

--- a/brambleplank/fleet/fleet.py
+++ b/brambleplank/fleet/fleet.py
@@ -122,19 +122,12 @@
             self.mend(now, broken)
 
     def go_on(self, now: float) -> None:
-        if (beat := self.office.due_beat(now)) is not None:
-            term, number = beat
+        if (due := self.office.due_beat(now)) is not None:
             covers = self.coverage(now)
-            self.send(
-                words.Beat(
-                    self.incarnation,
-                    term,
-                    number,
-                    self.office.in_office(now),
-                    covers.heard,
-                    round(covers.oldest * MS),
-                )
-            )
+            heard = covers.heard if due.stands else 0
+            leads = self.office.in_office(now)
+            oldest = round(covers.oldest * MS)
+            self.send(words.Beat(self.incarnation, due.term, due.number, leads, heard, oldest))
         self.serve(now)
         for editions in self.editions.values():
             editions.turn(now, self.office.lender)
@@ -187,6 +180,15 @@
         else:
             self.send(ask, office.lender)
 
+    def pre_vote(self, now: float, who: int, beat: words.Beat) -> None:
+        """To one that asks: this process would follow it. Nothing is promised, and no loan asked for."""
+        self.asked += 1
+        age = round(max(0.0, now - self.began) * MS)
+        answer = words.Ask(
+            self.incarnation, self.asked, beat.incarnation, beat.number, False, age, self.office.seen, []
+        )
+        self.send(answer, who)
+
     def tell(self, now: float) -> None:
         """Counts, tries, and what they come to."""
         in_office, lender = self.office.in_office(now), self.office.lender
@@ -290,7 +292,11 @@
                 editions.heard_at[who] = now
             self.heard_ask(now, who, word)
         elif isinstance(word, words.Beat):
-            self.office.heard_beat(now, who, word)
+            lender = self.office.lender
+            if self.office.heard_beat(now, who, word):
+                self.pre_vote(now, who, word)
+            if self.office.lender not in (lender, None):
+                self.ask_at = now  # a candidate waits for its supporters
             if word.serves and self.follows(who, word.incarnation):
                 self.covered = Coverage(word.heard, self.members, word.oldest / MS)
                 self.covered_at = now
@@ -348,6 +354,8 @@
         member.asked = ask.number
         if ask.supports:
             self.office.supported(now, who, ask.beat, ask.term)
+        if not own:
+            self.office.pre_voted(now, who, ask.beat)
         if not self.office.in_office(now):
             return
         self.serve(now)
--- a/brambleplank/fleet/words.py
+++ b/brambleplank/fleet/words.py
@@ -31,14 +31,22 @@
 
 
 class Beat(Word, tag=1, frozen=True):
-    """To all: this process stands for the office, or is in it."""
+    """To all: this process leads, stands as a candidate, or asks who would follow it.
+
+    One that asks holds no support; who followed it is free from a promise that it gave.
+    """
 
     term: Whole
     number: Whole  # of this beat, which supporters name
     serves: bool  # it is in office
-    heard: Whole  # members that it hears, itself among them
+    heard: Whole  # members that it hears, itself among them; 0: it neither leads nor stands
     oldest: Whole  # ms since the last of them was heard
 
+    @property
+    def asks_pre_votes(self) -> bool:
+        """Earlier versions, which bind at once, never say that they hear nobody, as they count themselves."""
+        return not self.serves and self.heard == 0
+
 
 class Purse(msgspec.Struct, array_like=True, frozen=True):
     """Of one budget: what this process may still use of what was lent, and what it would want."""
@@ -54,7 +62,9 @@
     number: Whole  # of this asking
     to: Whole  # that incarnation of the one asked
     beat: Whole  # the last one heard of it
-    supports: bool  # this process follows it, and nobody else for a lease
+    supports: (
+        bool  # this process follows it, and nobody else for a lease; else, to a beat that asks: a pre-vote
+    )
     age: Whole  # ms since this process started
     term: Whole  # the newest that it has seen
     purses: Annotated[list[Purse], Meta(max_length=10)]
--- /dev/null
+++ b/tests/test_elections.py
@@ -0,0 +1,103 @@
+"""The time without a leader keeps its bound, over seeds in virtual time; and the rules behind that bound."""
+
+from __future__ import annotations
+
+from random import Random
+
+import pytest
+
+from benchmarks.elections import FAULTS, LOSSES, Play, play
+from brambleplank.fleet.leader_election import LEASE, LONGER, DueBeat, LeaderElection
+from brambleplank.fleet.words import Beat
+
+SEEDS = range(60)
+MOST_TO_REPLACE = 4 * LEASE  # from a leader's fault until another leads
+MOST_WITHOUT = 3 * LEASE  # on end without a leader
+MEAN_TO_REPLACE = 1.75 * LEASE
+MEAN_WITHOUT = 1.25 * LEASE
+OF_THE_LEADER = [fault for fault in FAULTS if "leader" in fault]
+
+
+def mean(times: list[float]) -> float:
+    return sum(times) / len(times)
+
+
+@pytest.mark.parametrize("loss", LOSSES)
+@pytest.mark.parametrize("fault", FAULTS)
+def test_the_time_without_a_leader_is_bounded(fault: str, loss: float) -> None:
+    plays: dict[int, Play] = {seed: play(seed, fault, loss) for seed in SEEDS}
+    late = {seed: found for seed, found in plays.items() if found.longest > MOST_WITHOUT}
+    assert not late and mean([found.longest for found in plays.values()]) <= MEAN_WITHOUT
+    if fault in OF_THE_LEADER:
+        late = {seed: found for seed, found in plays.items() if found.replaced > MOST_TO_REPLACE}
+        assert not late and mean([found.replaced for found in plays.values()]) <= MEAN_TO_REPLACE
+    elif loss <= 0.1:
+        assert not [
+            seed for seed, found in plays.items() if found.absent
+        ]  # nobody unseats a leader that is heard
+
+
+def question(number: int) -> Beat:
+    return Beat(1, 0, number, False, 0, 0)
+
+
+def candidacy(number: int) -> Beat:
+    return Beat(1, 1, number, False, 1, 0)
+
+
+def member(number: int = 0, now: float = 100.0) -> LeaderElection:
+    """One whose start is long over."""
+    made = LeaderElection(number, 3, 1, now - 2 * LEASE, Random(1))
+    made.stand_at = float("inf")
+    return made
+
+
+def test_a_pre_vote_binds_nobody_and_is_given_by_none_that_follows_another() -> None:
+    one = member()
+    assert one.heard_beat(100.0, 1, question(1)) and one.heard_beat(100.0, 2, question(1))
+    assert one.lender is None and not one.promise(100.0)
+    one.heard_beat(100.1, 2, candidacy(2))
+    assert one.promise(100.1) and not one.heard_beat(100.2, 1, question(2))
+    assert one.promise(100.2)
+
+
+def test_a_promise_ends_with_its_lease_or_as_its_own_leader_steps_down_and_not_by_a_late_question() -> None:
+    one = member()
+    one.heard_beat(100.0, 1, candidacy(5))
+    assert not one.heard_beat(100.1, 1, question(4)) and one.promise(100.1)
+    assert one.heard_beat(100.2, 1, question(6)) and not one.promise(100.2)
+    one.heard_beat(100.3, 1, candidacy(5))  # sent before it stepped down
+    assert not one.promise(100.3)
+    one.heard_beat(100.4, 2, candidacy(1))
+    assert one.promise(100.4 + LEASE) and not one.promise(100.4 + LEASE * LONGER)
+
+
+def beats(of: LeaderElection, now: float, seconds: float) -> list[DueBeat]:
+    times = [now + 0.1 * n for n in range(int(10 * seconds))]
+    return [due for at in times if (due := of.due_beat(at)) is not None]
+
+
+def test_one_that_hears_no_pre_votes_asks_and_never_stands() -> None:
+    one = member()
+    one.stand_at = 0.0
+    sent = beats(one, 100.0, 60.0)
+    assert len(sent) >= 50 and not any(due.stands for due in sent) and not one.seen
+
+
+def test_a_leader_without_its_majority_steps_down_says_so_and_counts_on_nobody() -> None:
+    one = member()
+    one.stand_at = 0.0
+    asked = one.due_beat(100.0)
+    assert asked is not None
+    one.pre_voted(100.1, 1, asked.number)
+    stood = one.due_beat(100.2)
+    assert stood is not None and stood.stands
+    one.supported(100.3, 1, stood.number)
+    assert one.in_office(100.3)
+    sent = beats(one, 100.4, 2 * LEASE)
+    last = max(due.number for due in sent if due.stands)
+    stepped_down = [due for due in sent if due.number > last]
+    assert len(stepped_down) >= 3 and not one.stands
+    one.supported(100.4 + 2 * LEASE, 1, last)
+    one.supported(100.4 + 2 * LEASE, 2, last)
+    assert not one.in_office(100.4 + 2 * LEASE) and not one.supports
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -157,6 +157,12 @@
     ),
     "a late asking counts": (fleet.Fleet, "heard_ask", "ask.number <= member.asked", "False"),
     "a start promises at once": (leader_election.LeaderElection, "__init__", "now + LEASE * LONGER", "now"),
+    "any question frees from a promise": (
+        leader_election.LeaderElection,
+        "heard_question",
+        "(who, beat.incarnation) == (self.lender, self.lender_incarnation)",
+        "True",
+    ),
     "a promise counts from its arrival": (
         leader_election.LeaderElection,
         "supported",
