--- a/brambleplank/fleet/leader_election.py
+++ b/brambleplank/fleet/leader_election.py
@@ -20,7 +20,7 @@
 from dataclasses import dataclass
 from random import Random
 
-from brambleplank.fleet.words import Beat
+from brambleplank.fleet.messages import Heartbeat
 
 TELL = 1.0  # seconds between two beats, and between two askings
 LEASE = 4.0  # seconds that a promise, or a loan, holds
@@ -92,7 +92,7 @@
 
     # What this process hears.
 
-    def heard_beat(self, now: float, who: int, beat: Beat) -> bool:
+    def heard_beat(self, now: float, who: int, beat: Heartbeat) -> bool:
         """Whether it is to be answered by a pre-vote."""
         self.see(beat.term)
         if who == self.number or self.newest.get(who, (0, 0)) >= (beat.incarnation, beat.number):
@@ -108,7 +108,7 @@
         self.follow(now, who, beat)
         return False
 
-    def heard_question(self, now: float, who: int, beat: Beat) -> bool:
+    def heard_question(self, now: float, who: int, beat: Heartbeat) -> bool:
         """One that stands no longer, or not yet, asks who would follow it."""
         if (who, beat.incarnation) == (self.lender, self.lender_incarnation):
             self.release(now)
@@ -127,7 +127,7 @@
         self.promised_until = now
         self.stand_at = self.election_timeout(now)
 
-    def follow(self, now: float, who: int, beat: Beat) -> None:
+    def follow(self, now: float, who: int, beat: Heartbeat) -> None:
         self.withdraw()
         self.pre_votes.clear()
         self.yielded_to.clear()
--- a/tests/test_elections.py
+++ b/tests/test_elections.py
@@ -8,7 +8,7 @@
 
 from benchmarks.elections import FAULTS, LOSSES, Play, play
 from brambleplank.fleet.leader_election import LEASE, LONGER, DueBeat, LeaderElection
-from brambleplank.fleet.words import Beat
+from brambleplank.fleet.messages import Heartbeat
 
 SEEDS = range(60)
 MOST_TO_REPLACE = 4 * LEASE  # from a leader's fault until another leads
@@ -37,12 +37,12 @@
         ]  # nobody unseats a leader that is heard
 
 
-def question(number: int) -> Beat:
-    return Beat(1, 0, number, False, 0, 0)
+def question(number: int) -> Heartbeat:
+    return Heartbeat(1, 0, number, False, 0, 0)
 
 
-def candidacy(number: int) -> Beat:
-    return Beat(1, 1, number, False, 1, 0)
+def candidacy(number: int) -> Heartbeat:
+    return Heartbeat(1, 1, number, False, 1, 0)
 
 
 def member(number: int = 0, now: float = 100.0) -> LeaderElection:
