The stand-in Consul's tasks end with it: none is destroyed while pending

Cause: the test's agents were told to stop and their loop ended in the same pass, so tasks that waited for a change of the catalogue were woken and never run, and destroyed while pending. StandInConsul.close cancels them and returns once they have ended; the tests' loop is closed after it, and asserts that no task is left.

--- a/brambleplank/emulator/consul.py
+++ b/brambleplank/emulator/consul.py
@@ -62,6 +62,7 @@
         self.port = 0
         self.listener: asyncio.Server | None = None
         self.open: set[asyncio.StreamWriter] = set()
+        self.serving: set[asyncio.Task[Any]] = set()  # one for each connection
         self.turned = asyncio.Event()
 
     @property
@@ -82,6 +83,17 @@
             writer.transport.abort()
         self.turned.set()
 
+    async def close(self) -> None:
+        """The agent goes for good. What waits for a change in its catalogue has ended when this returns.
+
+        After `stop` alone, a loop that ends at once would destroy those tasks while they are pending.
+        """
+        self.stop()
+        serving = list(self.serving)
+        for task in serving:
+            task.cancel()
+        await asyncio.gather(*serving, return_exceptions=True)
+
     def change(self, service: str, member: Member | None = None, drop: str = "") -> None:
         """A member is put in, or dropped; whoever waits on the service is answered."""
         members = self.services.setdefault(service, {})
@@ -103,6 +115,10 @@
 
     async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         self.open.add(writer)
+        task = asyncio.current_task()
+        assert task is not None
+        self.serving.add(task)
+        task.add_done_callback(self.serving.discard)
         try:
             while True:
                 head = await reader.readuntil(b"\r\n\r\n")
--- a/tests/test_consul.py
+++ b/tests/test_consul.py
@@ -294,6 +294,21 @@
         script('[[step]]\nat = "1s"\ndo = "stop"\n[[step]]\nat = "soon"\ndo = "stop"\n')
 
 
+def test_an_agent_that_is_closed_leaves_no_task_that_waits_for_a_change() -> None:
+    async def evening() -> set[asyncio.Task[Any]]:
+        agent = StandInConsul()
+        await agent.listen()
+        for _ in range(3):
+            _, writer = await asyncio.open_connection("127.0.0.1", agent.port)
+            writer.write(b"GET /v1/health/service/feeds?index=1&wait=60s HTTP/1.1\r\n\r\n")
+        while len(agent.open) < 3:
+            await asyncio.sleep(0)
+        await agent.close()
+        return asyncio.all_tasks() - {asyncio.current_task()}
+
+    assert not asyncio.run(evening())
+
+
 # On sockets.
 
 
@@ -302,7 +317,8 @@
 
     def __init__(self) -> None:
         self.loop = asyncio.new_event_loop()
-        threading.Thread(target=self.loop.run_forever, daemon=True).start()
+        self.thread = threading.Thread(target=self.loop.run_forever, daemon=True)
+        self.thread.start()
         self.agents: list[StandInConsul] = []
 
     def new(self) -> StandInConsul:
@@ -319,8 +335,12 @@
 
     def close(self) -> None:
         for agent in self.agents:
-            self.loop.call_soon_threadsafe(agent.stop)
+            self.run(agent.close())
         self.loop.call_soon_threadsafe(self.loop.stop)
+        self.thread.join()
+        left = asyncio.all_tasks(self.loop)
+        self.loop.close()
+        assert not left
 
 
 @pytest.fixture
