A sidecar's SIGTERM during its start ends it with 0

Before, one that came amid the imports or the reading of its file ended it by the signal, and one between its listening and the reactor did so too, over clients in the kernel's queue. Now run sets a handler that leaves with 0 ahead of its imports, and from before the listening on the planned stop is handed to the reactor, as on the platform. Left: in the instant between the reactor's own handlers and Sidecar.begin a stop is Twisted's, which also ends it with 0 but without the planned stop; nothing has been accepted then.

--- a/brambleplank/sidecar/run.py
+++ b/brambleplank/sidecar/run.py
@@ -341,6 +341,7 @@
 def main(path: str, command: list[str]) -> int:
     """Runs until told to leave, or until the application has left; its exit code. 2: nothing was started."""
     signal.signal(signal.SIGHUP, signal.SIG_IGN)  # Danger: one that comes before all is set up would end it.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(0))
     told = read(path)
     if told.faults:
         print("\n".join(told.lines()), file=sys.stderr)
@@ -350,6 +351,8 @@
         return 2
     allow(told.file.limits.descriptors if told.file else 0)
     sidecar = Sidecar(told, command)
+    # From here on clients may wait in the kernel's queue: the reactor, once it runs, begins with the stop.
+    signal.signal(signal.SIGTERM, lambda *_: reactor.callFromThread(sidecar.stop))
     try:
         sidecar.share()
         sidecar.listen()
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -13,7 +13,7 @@
 
 import pytest
 
-from tests.conftest import PATIENCE, SETTINGS, Discovery, Program, Server, spare_address, told
+from tests.conftest import PATIENCE, SETTINGS, Discovery, Program, Server, spare_address, start, told
 from tests.test_sockets import Run, fleet
 
 
@@ -126,6 +126,46 @@
     assert ("stop: empty" in said) == (where == "Program.begin")
 
 
+STOPPED_AMID_IMPORTS = """
+import os, signal, sys
+class Stop:
+    def find_spec(self, name, *_):
+        if name == "brambleplank.sidecar.run":
+            os.kill(os.getpid(), signal.SIGTERM)
+sys.meta_path.insert(0, Stop())
+sys.argv = ["brambleplank", "run", "/nowhere/maps.toml"]
+from brambleplank.command import main
+main()
+"""
+
+
+def test_a_stop_of_a_sidecar_amid_its_imports_ends_it_with_zero() -> None:
+    process = start(None, STOPPED_AMID_IMPORTS)
+    said = process.communicate(timeout=PATIENCE)[1]
+    assert process.returncode == 0 and said == ""
+
+
+@pytest.mark.parametrize("where", ["run.read", "Sidecar.share", "Sidecar.listen", "Sidecar.begin"])
+def test_a_stop_that_comes_during_the_start_of_a_sidecar_ends_it_with_zero(
+    run_beside: Run, where: str
+) -> None:
+    patch = f"""
+import os, signal
+from brambleplank.sidecar import run
+from brambleplank.sidecar.run import Sidecar
+sound = {where}
+def told_to_end(*what):
+    os.kill(os.getpid(), signal.SIGTERM)
+    os.kill(os.getpid(), signal.SIGTERM)
+    return sound(*what)
+{where} = told_to_end
+"""
+    program = run_beside(fleet(Server()), patch=patch)
+    said = program.log()
+    assert program.process.returncode == 0 and "Traceback" not in said
+    assert where not in ("Sidecar.share", "Sidecar.listen") or "stop: empty" in said
+
+
 @pytest.mark.parametrize("held", ["listen", "peer_listen"])
 def test_an_address_that_the_process_before_still_holds_is_waited_for(run: Run, held: str) -> None:
     where = spare_address()
