limits.sockets keeps to the process limit on descriptors, and raises the soft one

The platform's process never looked at RLIMIT_NOFILE: with a limit under limits.sockets accept failed for want of a descriptor, and nobody was answered. Now the soft limit is raised to what limits.sockets asks for, up to the hard one; over that the hard one rules, and a line names both figures, at the start and by SIGHUP.

--- a/brambleplank/platform/run.py
+++ b/brambleplank/platform/run.py
@@ -18,6 +18,7 @@
 from brambleplank.fronts.line.ping import Ping
 from brambleplank.net.buffers import BACKLOG, Listener
 from brambleplank.net.clock import Clock
+from brambleplank.net.descriptors import allow
 from brambleplank.net.faults import watch
 from brambleplank.net.log import Log
 from brambleplank.net.loop import reactor
@@ -38,12 +39,21 @@
         clock = Clock()
         proxy = self.proxy = Proxy(clock, Log(clock.now), told.terms, told.seed, told.descriptors, Ping)
         proxy.emptied = self.end
+        self.limit_descriptors(told.descriptors)
         self.side: Any = None  # towards the processes before and after this one, where there may be any
         self.discovery = proxy.source = Discovery(proxy, told.discovery)
         self.let_speak(told)
         if told.fleet:
             self.share(told)
 
+    def limit_descriptors(self, wanted: int) -> None:
+        """The proxy counts on no more than the process may open: with none to spare it accepts nobody."""
+        allowed = allow(wanted)
+        if allowed < wanted:
+            reason = f"RLIMIT_NOFILE lets this process open {allowed} at most"
+            self.proxy.log(f"limits.sockets: {wanted}, but {reason}")
+        self.proxy.door.descriptors = allowed
+
     def share(self, told: start.Told) -> None:
         """What only this needs is imported only here."""
         from brambleplank.fleet.messages import FORMAT
@@ -206,7 +216,8 @@
         )
         if told.terms != self.told.terms:
             proxy.retune(told.terms)
-        proxy.door.descriptors = told.descriptors
+        if told.descriptors != self.told.descriptors:
+            self.limit_descriptors(told.descriptors)
         before_told, self.told = self.told, told
         if self.let_speak(told):
             try:
--- a/brambleplank/sidecar/run.py
+++ b/brambleplank/sidecar/run.py
@@ -23,6 +23,7 @@
 from brambleplank.fronts.line.ping import Ping
 from brambleplank.net.buffers import BACKLOG, Listener
 from brambleplank.net.clock import Clock
+from brambleplank.net.descriptors import allow
 from brambleplank.net.faults import watch
 from brambleplank.net.log import Log, plainly
 from brambleplank.net.loop import reactor
@@ -330,14 +331,6 @@
             out.sendto(state.encode(), "\0" + path[1:] if path[0] == "@" else path)
 
 
-def allow(descriptors: int) -> None:
-    """Raises this process's own soft limit as far as its file says; the hard limit was checked."""
-    soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
-    if soft < descriptors:
-        with suppress(ValueError, OSError):
-            resource.setrlimit(resource.RLIMIT_NOFILE, (descriptors, hard))
-
-
 def main(path: str, command: list[str]) -> int:
     """Runs until told to leave, or until the application has left; its exit code. 2: nothing was started."""
     signal.signal(signal.SIGHUP, signal.SIG_IGN)  # Danger: one that comes before all is set up would end it.
