--- a/brambleplank/platform/handover.py
+++ b/brambleplank/platform/handover.py
@@ -394,7 +394,8 @@
                 "sent": sent if channel.after else {},
                 "ids": sorted(self.proxy.door.open_ids - channel.ids),
             }
-            if holds != channel.told:
+            # What was sent is told as it grows: the same twice in a row is twice as much.
+            if holds != channel.told or holds["sent"]:
                 channel.told = holds
                 channel.ids.update(holds["ids"])
                 channel.say({"say": "holds", **holds})
--- /dev/null
+++ b/tests/test_handover.py
@@ -0,0 +1,37 @@
+"""What one process of a proxy tells the other while both live."""
+
+from __future__ import annotations
+
+from types import SimpleNamespace
+from typing import Any
+
+from brambleplank.platform.handover import Handover
+
+
+class Told:
+    """Stands for the channel to the process after this one; keeps what it was told."""
+
+    def __init__(self) -> None:
+        self.after, self.descriptors = True, 0
+        self.ids: set[str] = set()
+        self.told: dict[str, Any] = {}
+        self.messages: list[dict[str, Any]] = []
+
+    def say(self, message: dict[str, Any]) -> None:
+        self.messages.append(message)
+
+
+def test_a_second_connect_to_a_cold_server_is_told_though_nothing_else_has_changed() -> None:
+    channel = Told()
+    proxy = SimpleNamespace(
+        clock=SimpleNamespace(later=lambda wait, call: None),
+        door=SimpleNamespace(in_use=20, open_ids={"1f"}),
+        balancer=SimpleNamespace(servers={}),
+        sent_beside={},
+    )
+    handover: Any = SimpleNamespace(proxy=proxy, channels={channel: None}, tell_holds=None)
+    for sent in ({}, {"s0": 1}, {"s0": 1}, {}, {}):
+        proxy.sent_beside = dict(sent)
+        Handover.tell_holds(handover)
+    # The first tells of the id; the last but one that nothing more was sent; the last has nothing to tell.
+    assert [message["sent"] for message in channel.messages] == [{}, {"s0": 1}, {"s0": 1}, {}]
