--- a/brambleplank/fleet/fleet.py
+++ b/brambleplank/fleet/fleet.py
@@ -139,7 +139,7 @@
         self.serve(now)
         for agreement in self.agreements.values():
             agreement.turn(now, self.office.lender)
-        wait = min(2 * TELL, TELL / 2 * 1.5 ** max(0, self.unanswered - 1)) if self.unanswered else TELL
+        wait = self.retry_wait()
         soon = self.refused and now >= self.asked_at + SOONEST * 1.5**self.unanswered
         if now >= self.ask_at or soon:
             self.ask(now)
@@ -151,6 +151,14 @@
         if self.check:
             self.guard(now)
 
+    def retry_wait(self) -> float:
+        """Seconds to the next lease request. A leader without answer is asked less and less often."""
+        if not self.unanswered:
+            return TELL
+        # A candidate answers nothing yet; asked less and less, it would miss its majority on lossy links.
+        growth = 1.5 ** (self.unanswered - 1) if self.office.serves else 1.0
+        return min(2 * TELL, TELL / 2 * growth)
+
     def serve(self, now: float) -> None:
         serving = self.office.in_office(now)
         if serving and not self.serving:
--- a/tests/test_elections.py
+++ b/tests/test_elections.py
@@ -11,10 +11,10 @@
 from brambleplank.fleet.messages import Heartbeat
 
 SEEDS = range(60)
-MOST_TO_REPLACE = 4 * LEASE  # from a leader's fault until another leads
-MOST_WITHOUT = 3 * LEASE  # on end without a leader
-MEAN_TO_REPLACE = 1.75 * LEASE
-MEAN_WITHOUT = 1.25 * LEASE
+MOST_TO_REPLACE = 3 * LEASE  # from a leader's fault until another leads
+MOST_WITHOUT = 2.5 * LEASE  # on end without a leader
+MEAN_TO_REPLACE = 1.5 * LEASE
+MEAN_WITHOUT = 1.0 * LEASE
 OF_THE_LEADER = [fault for fault in FAULTS if "leader" in fault]
 
 
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -177,7 +177,8 @@
     of, names, old, new = FAULTS[fault]
     for name in names.split():
         monkeypatch.setattr(of, name, changed(getattr(of, name), old, new))
-    seeds = [25 * n for n in range(40)] if of is leader_election.LeaderElection else range(1, 100)
+    # A fault that a few plays in a hundred meet; which seeds do so changes with each change of the schedule.
+    seeds = [25 * n for n in range(40)] if of is leader_election.LeaderElection else range(1, 300)
     with pytest.raises(BrokenError):
         for seed in seeds:
             play(seed, 30)
--- a/tests/test_fleet_processes.py
+++ b/tests/test_fleet_processes.py
@@ -38,6 +38,8 @@
 )
 
 WINDOW, LIMIT = 2.0, 40
+# The election's bound (`tests/test_elections.py`) is three leases of 1 s here; as much again if it is busy.
+MOST_TO_REPLACE = 2 * 3 * 1.0
 Fleets = Callable[..., Fleet]
 
 
@@ -153,7 +155,7 @@
     until(lambda: "in the dark" in fleet.members[deaf].said().split("out of the dark")[-1])
     fleet.relay.cut = {(n, lender) for n in range(5)}  # its beats go on, and no answer reaches it
     until(lambda: "out of office" in fleet.members[lender].said())
-    until(lambda: fleet.lender() != lender)
+    until(lambda: fleet.lender() != lender, MOST_TO_REPLACE)
     fleet.relay.cut.clear()
     healed = time.monotonic()
     until(lambda: all(served(d.flows, healed) > 2 for d in demands))
