--- a/brambleplank/fleet/fleet.py
+++ b/brambleplank/fleet/fleet.py
@@ -130,23 +130,16 @@
             self.mend(now, broken)
 
     def go_on(self, now: float) -> None:
-        if (beat := self.office.due_beat(now)) is not None:
-            term, number = beat
+        if (due := self.office.due_beat(now)) is not None:
             covers = self.coverage(now)
-            self.send(
-                messages.Heartbeat(
-                    self.incarnation,
-                    term,
-                    number,
-                    self.office.in_office(now),
-                    covers.heard,
-                    round(covers.oldest * MS),
-                )
-            )
+            reachable = covers.heard if due.stands else 0
+            leads = self.office.in_office(now)
+            oldest = round(covers.oldest * MS)
+            self.send(messages.Heartbeat(self.incarnation, due.term, due.number, leads, reachable, oldest))
         self.serve(now)
         for agreement in self.agreements.values():
             agreement.turn(now, self.office.lender)
-        wait = min(2 * TELL, TELL / 2 * 1.5 ** max(0, self.unanswered - 1)) if self.unanswered else TELL
+        wait = self.retry_wait()
         soon = self.refused and now >= self.asked_at + SOONEST * 1.5**self.unanswered
         if now >= self.ask_at or soon:
             self.ask(now)
@@ -158,6 +151,14 @@
         if self.check:
             self.guard(now)
 
+    def retry_wait(self) -> float:
+        """Seconds to the next lease request. A leader without answer is asked less and less often."""
+        if not self.unanswered:
+            return TELL
+        # A candidate answers nothing yet; asked less and less, it would miss its majority on lossy links.
+        growth = 1.5 ** (self.unanswered - 1) if self.office.serves else 1.0
+        return min(2 * TELL, TELL / 2 * growth)
+
     def serve(self, now: float) -> None:
         serving = self.office.in_office(now)
         if serving and not self.serving:
@@ -199,6 +200,15 @@
         else:
             self.send(ask, office.lender)
 
+    def pre_vote(self, now: float, who: int, beat: messages.Heartbeat) -> None:
+        """To one that asks: this process would follow it. Nothing is promised, and no lease asked for."""
+        self.asked += 1
+        age = round(max(0.0, now - self.began) * MS)
+        answer = messages.LeaseRequest(
+            self.incarnation, self.asked, beat.incarnation, beat.number, False, age, self.office.seen, []
+        )
+        self.send(answer, who)
+
     def tell(self, now: float) -> None:
         """Counts, tries, and what they come to."""
         in_office, lender = self.office.in_office(now), self.office.lender
@@ -304,7 +314,11 @@
                 agreement.heard_at[who] = now
             self.heard_ask(now, who, message)
         elif isinstance(message, messages.Heartbeat):
-            self.office.heard_beat(now, who, message)
+            lender = self.office.lender
+            if self.office.heard_beat(now, who, message):
+                self.pre_vote(now, who, message)
+            if self.office.lender not in (lender, None):
+                self.ask_at = now  # a candidate waits for its supporters
             if message.serves and self.follows(who, message.incarnation):
                 self.covered = Coverage(message.reachable, self.members, message.oldest / MS)
                 self.covered_at = now
@@ -364,6 +378,8 @@
         member.asked = ask.sequence
         if ask.supports:
             self.office.supported(now, who, ask.heartbeat, ask.term)
+        if not own:
+            self.office.pre_voted(now, who, ask.heartbeat)
         if not self.office.in_office(now):
             return
         self.serve(now)
--- a/brambleplank/platform/holdings.py
+++ b/brambleplank/platform/holdings.py
@@ -28,7 +28,8 @@
                 "sent": sent if channel.to_successor else {},
                 "ids": sorted(self.proxy.door.open_ids - channel.known_ids),
             }
-            if holds != channel.reported:
+            # What was sent is reported as it grows: the same twice in a row is twice as much.
+            if holds != channel.reported or holds["sent"]:
                 channel.reported = holds
                 channel.known_ids.update(holds["ids"])
                 channel.send({"say": upgrade_messages.HOLDS, **holds})
--- a/brambleplank/sidecar/run.py
+++ b/brambleplank/sidecar/run.py
@@ -23,6 +23,7 @@
 from brambleplank.fronts.line.ping import Ping
 from brambleplank.net.buffers import BACKLOG, Listener
 from brambleplank.net.clock import Clock
+from brambleplank.net.descriptors import allow
 from brambleplank.net.faults import watch
 from brambleplank.net.log import Log, plainly
 from brambleplank.net.loop import reactor
@@ -330,17 +331,10 @@
             out.sendto(state.encode(), "\0" + path[1:] if path[0] == "@" else path)
 
 
-def allow(descriptors: int) -> None:
-    """Raises this process's own soft limit as far as its file says; the hard limit was checked."""
-    soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
-    if soft < descriptors:
-        with suppress(ValueError, OSError):
-            resource.setrlimit(resource.RLIMIT_NOFILE, (descriptors, hard))
-
-
 def main(path: str, command: list[str]) -> int:
     """Runs until told to leave, or until the application has left; its exit code. 2: nothing was started."""
     signal.signal(signal.SIGHUP, signal.SIG_IGN)  # Danger: one that comes before all is set up would end it.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(0))
     told = read(path)
     if told.faults:
         print("\n".join(told.lines()), file=sys.stderr)
@@ -350,6 +344,8 @@
         return 2
     allow(told.file.limits.descriptors if told.file else 0)
     sidecar = Sidecar(told, command)
+    # From here on clients may wait in the kernel's queue: the reactor, once it runs, begins with the stop.
+    signal.signal(signal.SIGTERM, lambda *_: reactor.callFromThread(sidecar.stop))
     try:
         sidecar.share()
         sidecar.listen()
