--- a/brambleplank/fleet/messages.py
+++ b/brambleplank/fleet/messages.py
@@ -32,14 +32,22 @@
 
 
 class Heartbeat(Message, tag=1, frozen=True):
-    """Sent to all members by the leader or by a candidate."""
+    """Sent to all members by the leader, by a candidate, or by a process that asks for pre-votes.
+
+    One that asks for pre-votes holds no support; its followers are free from their promises to it.
+    """
 
     term: Whole
     number: Whole  # of this heartbeat; members name it when they support the sender
     serves: bool  # the sender is the leader
-    reachable: Whole  # members that the sender hears from, itself included
+    reachable: Whole  # members that the sender hears from, itself included; 0: neither leader nor candidate
     oldest: Whole  # ms since the least recent of them was heard from
 
+    @property
+    def asks_pre_votes(self) -> bool:
+        """Never true of earlier releases, whose candidates need no pre-votes: they count themselves."""
+        return not self.serves and self.reachable == 0
+
 
 class Allocation(msgspec.Struct, array_like=True, frozen=True):
     """What the sender holds of one budget by lease, and how much it wants."""
@@ -50,7 +58,10 @@
 
 
 class LeaseRequest(Message, tag=2, frozen=True):
-    """Sent to the leader or candidate that the sender follows: its support, and leases to be renewed."""
+    """Sent to the leader or candidate that the sender follows: its support, and leases to be renewed.
+
+    In answer to a heartbeat that asks for pre-votes it is one, without support and allocations.
+    """
 
     sequence: Whole  # of this request
     recipient: Whole  # the incarnation of the process that is asked
