--- a/brambleplank/fleet/fleet.py
+++ b/brambleplank/fleet/fleet.py
@@ -213,10 +213,7 @@
         elif lender is not None:
             if counts := self.counts.to_tell():
                 self.send(messages.CountReport(self.incarnation, counts), lender)
-            if good or bad:
-                room = messages.MAX_SERVERS
-                told_bad = bad[:room]
-                told_good = self.rng.sample(good, min(len(good), room - len(told_bad)))
+            for told_good, told_bad in self.judgements.to_report(now, messages.MAX_SERVERS):
                 self.send(
                     messages.ServerObservations(
                         self.incarnation, told_good, told_bad, len(good) + len(bad), len(bad)
@@ -228,7 +225,9 @@
                 self.send(messages.Aggregates(self.incarnation, sums))
             if judged := self.judgements.judged(now, len(self.servers())):
                 self.judgements.heard(now, judged)
-                self.send(messages.Ejections(self.incarnation, judged))
+                for start in range(0, len(judged), messages.MAX_SERVERS):
+                    part = judged[start : start + messages.MAX_SERVERS]
+                    self.send(messages.Ejections(self.incarnation, part))
 
     def look(self, now: float) -> None:
         """Logs when a partition begins and ends; as the leader, which members are unreachable."""
--- a/brambleplank/fleet/messages.py
+++ b/brambleplank/fleet/messages.py
@@ -17,7 +17,7 @@
 FORMAT = 2  # the first byte of a datagram
 MAX_DATAGRAM = 256  # bytes, the limit of the platform
 MAX_NAME = 40  # characters of one part of a counted key
-MAX_SERVERS = 40  # servers named in one message
+MAX_SERVERS = 40  # servers named in one message; more take several
 CHUNK_SIZE = 200  # bytes of a text in one message
 MAX_REASON = 150  # characters of an objection
 Whole = Annotated[int, Meta(ge=0, le=2**53)]
@@ -113,11 +113,11 @@
 
 
 class ServerObservations(Message, tag=7, frozen=True):
-    """Sent to the leader: servers that the sender tried lately, by two bytes of a hash of their addresses."""
+    """Sent to the leader: some of the servers that the sender tried lately, by the widest tags."""
 
     healthy: Annotated[list[Tag], Meta(max_length=MAX_SERVERS)]
     failing: Annotated[list[Tag], Meta(max_length=MAX_SERVERS)]
-    tried_total: Whole  # also those that found no room in this message
+    tried_total: Whole  # also those that other messages name
     failing_total: Whole
 
 
