Name the election by leader, candidate, heartbeat and support

office, lender, stands, beats and what was heard are leader, candidate, heartbeats and what is received; Fleet.office is Fleet.election, World.lender is World.leader. Comments of the module say in a sentence what goes wrong without the line.

--- a/benchmarks/elections.py
+++ b/benchmarks/elections.py
@@ -46,7 +46,7 @@
     world = World(members, [], seed, check=False)
     world.links.loss, world.links.slowest, world.links.twice = loss, slowest, twice
     world.run(SETTLE * leader_election.LEASE / 4)
-    while (leader := world.lender()) is None:
+    while (leader := world.leader()) is None:
         world.run(STEP)
     others = range(members)
     member = (leader.number + 1) % members
@@ -59,13 +59,13 @@
     elif fault == "member, then leader":
         world.links.cut = {(n, member) for n in others}
         world.run(1.5 * leader_election.LEASE)
-        while (leader := world.lender()) is None:
+        while (leader := world.leader()) is None:
             world.run(STEP)
         world.links.cut = {(n, leader.number) for n in others}
     began, replaced, longest, absent, last = world.now, float("inf"), 0.0, 0.0, world.now
     while world.now < began + WATCHED:
         world.run(STEP)
-        now_leads = world.lender()
+        now_leads = world.leader()
         if now_leads is not None:
             last = world.now
             if now_leads is not leader:
--- a/benchmarks/sharing.py
+++ b/benchmarks/sharing.py
@@ -1,7 +1,7 @@
 """What budgets over a fleet cost and yield, in virtual time, beside static shares and optimistic counting.
 
 `python -m benchmarks.sharing [MEMBERS ...]` prints a Markdown table. One budget of a rate; all demand is at
-one process; then the fleet is cut, with the one in office among the fewer, and heals. Figures are simulated.
+one process; then the fleet is cut, with the leader among the fewer, and heals. Figures are simulated.
 """
 
 from __future__ import annotations
@@ -102,22 +102,22 @@
 def leased(members: int) -> list[str]:
     world = World(members, [Budget("rate", LIMIT, WINDOW, members)], 1, check=False)
     world.run(SETTLES)
-    lender = world.lender()
-    assert lender is not None
-    one = world.nodes[(lender.number + 1) % members]
+    leader = world.leader()
+    assert leader is not None
+    one = world.nodes[(leader.number + 1) % members]
     use(world, [one], 2 * WINDOW)
     bytes_before, began = world.sent_bytes.copy(), world.now
     (at_one,) = use(world, [one], 20.0)
     seconds = world.now - began
     rates = sorted((world.sent_bytes[n] - bytes_before[n]) / seconds for n in range(members))
-    few = {(lender.number + n) % members for n in range((members - 1) // 2 or 1)}
+    few = {(leader.number + n) % members for n in range((members - 1) // 2 or 1)}
     world.cut(few, set(range(members)) - few)
-    other = world.nodes[(lender.number + len(few)) % members]
-    use(world, [lender, other], 3 * WINDOW)
-    in_few, in_many = use(world, [lender, other], 20.0)
+    other = world.nodes[(leader.number + len(few)) % members]
+    use(world, [leader, other], 3 * WINDOW)
+    in_few, in_many = use(world, [leader, other], 20.0)
     world.links.cut.clear()
     healed = world.now
-    while use(world, [lender], 0.5)[0] < 0.5 and world.now < healed + 90:
+    while use(world, [leader], 0.5)[0] < 0.5 and world.now < healed + 90:
         pass
     took = world.now - healed
     return [
--- a/benchmarks/world.py
+++ b/benchmarks/world.py
@@ -1,7 +1,7 @@
 """A whole fleet in virtual time: members with clocks of their own, links that lose, delay, repeat and cut.
 
 It judges in true time, by its own record, what no member can see: whether a window or an instant ever held
-more than its budget, and whether two were ever in office at once. One seed gives one run.
+more than its budget, and whether two ever led at once. One seed gives one run.
 """
 
 from __future__ import annotations
@@ -115,7 +115,7 @@
                 self.at(node.stalled_until, turn)
                 return
             fleet.turn(self.clock(node))
-            self.judge_office()
+            self.judge_leaders()
             self.at(self.now + TURN * self.rng.uniform(0.9, 1.1), turn)
 
         self.at(self.now + self.rng.uniform(0, TURN), turn)
@@ -163,7 +163,7 @@
             self.at(node.stalled_until, lambda: self.arrive(sender, node, data))
             return
         node.fleet.heard(self.clock(node), sender, data)
-        self.judge_office()
+        self.judge_leaders()
 
     def cut(self, one: set[int], other: set[int]) -> None:
         self.links.cut |= {pair for a in one for b in other for pair in ((a, b), (b, a))}
@@ -198,22 +198,22 @@
             node.held[name] -= 1
             node.fleet.account(name).release()
 
-    def judge_office(self) -> None:
-        found = [n.number for n in self.nodes if self.runs(n) and self.in_office(n)]
+    def judge_leaders(self) -> None:
+        found = [n.number for n in self.nodes if self.runs(n) and self.is_leader(n)]
         if len(found) > 1:
-            raise BrokenError(f"{found} are in office at {self.now:.3f}", "office")
+            raise BrokenError(f"{found} lead at {self.now:.3f}", "election")
 
-    def in_office(self, node: Node) -> bool:
-        office = node.fleet.office if node.fleet else None
+    def is_leader(self, node: Node) -> bool:
+        election = node.fleet.election if node.fleet else None
         return (
-            office is not None
-            and office.stands
-            and office.since is not None
-            and (self.clock(node) < office.expires())
+            election is not None
+            and election.is_candidate
+            and election.leader_since is not None
+            and (self.clock(node) < election.support_expires())
         )
 
-    def lender(self) -> Node | None:
-        return next((n for n in self.nodes if self.runs(n) and self.in_office(n)), None)
+    def leader(self) -> Node | None:
+        return next((n for n in self.nodes if self.runs(n) and self.is_leader(n)), None)
 
 
 def rough(world: World, steps: int, act: Random) -> None:
@@ -244,8 +244,8 @@
         elif what < 0.32:
             world.links.loss, world.links.twice = act.choice([0, 0, 0.1, 0.4]), act.choice([0, 0.2])
             world.links.slowest = act.choice([0.002, 0.05, 0.6, 3.0])
-        elif what < 0.36 and (lender := world.lender()) is not None:
-            act.choice([world.kill, lambda each: world.stall(each, 6)])(lender)
+        elif what < 0.36 and (leader := world.leader()) is not None:
+            act.choice([world.kill, lambda each: world.stall(each, 6)])(leader)
         elif what < 0.44:
             greedy = act.sample(nodes, act.randint(1, len(nodes)))
         for each in nodes:
@@ -261,14 +261,14 @@
 
 
 def duel(world: World, act: Random) -> None:
-    """What tempts two into office at once, and a lender to lend again what is out, at times by chance."""
+    """What tempts two to lead at once, and a leader to lend again what is out, at times by chance."""
     for _ in range(6):
         world.links = Links()
         world.run(act.uniform(6, 12))
-        lender = world.lender()
-        if lender is None:
+        leader = world.leader()
+        if leader is None:
             continue
-        others = [node for node in world.nodes if node is not lender]
+        others = [node for node in world.nodes if node is not leader]
         rival, holder = act.choice(others), act.choice(others)
         for _ in range(30):
             world.run(0.1)
@@ -277,7 +277,7 @@
                     world.take(holder, budget.name)
         what = act.choice(["bridge", "late", "restart", "stall", "all"])
         if what == "bridge":  # a majority on either side, by members that start anew
-            world.cut({lender.number}, {rival.number})
+            world.cut({leader.number}, {rival.number})
             world.run(act.uniform(2, 6))
             for node in others:
                 if node is not rival:
@@ -285,11 +285,11 @@
                     world.start(node)
         elif what == "late":  # old promises arrive when their givers have moved on
             for node in others:
-                world.links.late[node.number, lender.number] = act.uniform(2, 3.9)
+                world.links.late[node.number, leader.number] = act.uniform(2, 3.9)
             world.run(act.uniform(3, 6))
-            world.cut({lender.number}, {node.number for node in others})
+            world.cut({leader.number}, {node.number for node in others})
         elif what == "stall":
-            world.stall(act.choice([lender, holder]), act.uniform(1, 12))
+            world.stall(act.choice([leader, holder]), act.uniform(1, 12))
         else:
             for node in world.nodes if what == "all" else [holder]:
                 world.kill(node)
--- a/brambleplank/fleet/fleet.py
+++ b/brambleplank/fleet/fleet.py
@@ -65,11 +65,11 @@
         self.say, self.log, self.servers, self.check = say, log, servers, check
         self.rng = Random(seed)
         self.began = now
-        self.office = LeaderElection(number, members, incarnation, now, self.rng)
+        self.election = LeaderElection(number, members, incarnation, now, self.rng)
         self.accounts = {b.name: Account(b, number, now) for b in budgets}
         self.by_tag = {account.budget.tag: account for account in self.accounts.values()}
         self.ledgers = {b.tag: Ledger(b) for b in budgets}
-        self.serving = False  # in office, as last looked
+        self.leading = False  # as of the last turn
         self.counts, self.judgements = Counts(), Judgements()
         self.others: dict[int, Member] = {}
         self.agreements: dict[int, VersionAgreement] = {}  # by the kind of text
@@ -82,7 +82,7 @@
         self.covered, self.covered_at = Coverage(1, members, 0.0), now
         self.grows: list[Callable[[], dict[str, int]]] = []  # of its parts: what never falls, by name
         self.known: dict[str, int] = {}  # the same as last looked
-        self.silent: set[int] = set()  # others, as last said in office
+        self.silent: set[int] = set()  # unreachable members that were logged
         self.partitioned = False
         self.partition_known_from = now + LEASE  # a partition is not reported before
 
@@ -113,7 +113,7 @@
         return now < self.answered_at + LEASE
 
     def coverage(self, now: float) -> Coverage:
-        if self.office.in_office(now):
+        if self.election.is_leader(now):
             ages = [now - m.at for m in self.others.values() if now < m.at + LEASE]
             return Coverage(1 + len(ages), self.members, max(ages, default=0.0))
         if now >= self.covered_at + LEASE or self.partitioned:
@@ -130,15 +130,15 @@
             self.mend(now, broken)
 
     def go_on(self, now: float) -> None:
-        if (due := self.office.due_beat(now)) is not None:
+        if (due := self.election.due_heartbeat(now)) is not None:
             covers = self.coverage(now)
-            reachable = covers.heard if due.stands else 0
-            leads = self.office.in_office(now)
+            reachable = covers.heard if due.is_candidate else 0
+            leads = self.election.is_leader(now)
             oldest = round(covers.oldest * MS)
-            self.send(messages.Heartbeat(self.incarnation, due.term, due.number, leads, reachable, oldest))
-        self.serve(now)
+            self.send(messages.Heartbeat(self.incarnation, due.term, due.sequence, leads, reachable, oldest))
+        self.update_leadership(now)
         for agreement in self.agreements.values():
-            agreement.turn(now, self.office.lender)
+            agreement.turn(now, self.election.leader)
         wait = min(2 * TELL, TELL / 2 * 1.5 ** max(0, self.unanswered - 1)) if self.unanswered else TELL
         soon = self.refused and now >= self.asked_at + SOONEST * 1.5**self.unanswered
         if now >= self.ask_at or soon:
@@ -151,25 +151,25 @@
         if self.check:
             self.guard(now)
 
-    def serve(self, now: float) -> None:
-        serving = self.office.in_office(now)
-        if serving and not self.serving:
+    def update_leadership(self, now: float) -> None:
+        leading = self.election.is_leader(now)
+        if leading and not self.leading:
             for ledger in self.ledgers.values():
                 ledger.begin_term(now)
             for agreement in self.agreements.values():
-                agreement.become_leader(now, self.office.term)
-            self.log(f"fleet: in office, term {self.office.term}")
-        elif self.serving and not serving:
+                agreement.become_leader(now, self.election.term)
+            self.log(f"fleet: in office, term {self.election.term}")
+        elif self.leading and not leading:
             for agreement in self.agreements.values():
                 agreement.step_down()
             self.log("fleet: out of office: no majority is heard")
-        self.serving = serving
+        self.leading = leading
 
     def ask(self, now: float) -> None:
-        office = self.office
-        if office.lender is None:
+        election = self.election
+        if election.leader is None:
             return
-        supports = office.promise(now)
+        supports = election.promise(now)
         self.asked += 1
         self.asked_at, self.refused = now, False
         self.unanswered += 1
@@ -180,47 +180,54 @@
         ask = messages.LeaseRequest(
             self.incarnation,
             self.asked,
-            office.lender_incarnation,
-            office.number_of_beat if office.lender == self.number else office.beat,
+            election.leader_incarnation,
+            election.sequence if election.leader == self.number else election.heartbeat,
             supports,
             round(max(0.0, now - self.began) * MS),
-            office.seen,
+            election.newest_term,
             allocations,
         )
-        if office.lender == self.number:
+        if election.leader == self.number:
             self.heard_ask(now, self.number, ask)
         else:
-            self.send(ask, office.lender)
+            self.send(ask, election.leader)
 
     def pre_vote(self, now: float, who: int, beat: messages.Heartbeat) -> None:
         """To one that asks: this process would follow it. Nothing is promised, and no lease asked for."""
         self.asked += 1
         age = round(max(0.0, now - self.began) * MS)
         answer = messages.LeaseRequest(
-            self.incarnation, self.asked, beat.incarnation, beat.number, False, age, self.office.seen, []
+            self.incarnation,
+            self.asked,
+            beat.incarnation,
+            beat.sequence,
+            False,
+            age,
+            self.election.newest_term,
+            [],
         )
         self.send(answer, who)
 
     def tell(self, now: float) -> None:
         """Counts, tries, and what they come to."""
-        in_office, lender = self.office.in_office(now), self.office.lender
+        is_leader, leader = self.election.is_leader(now), self.election.leader
         for agreement in self.agreements.values():
-            agreement.report(now, lender)
+            agreement.report(now, leader)
         good, bad = self.judgements.opinions(now)
-        if self.office.stands:
+        if self.election.is_candidate:
             self.counts.told(self.number, self.incarnation, self.counts.to_tell())
             self.judgements.said(now, self.number, good, bad, len(good) + len(bad), len(bad))
-        elif lender is not None:
+        elif leader is not None:
             if counts := self.counts.to_tell():
-                self.send(messages.CountReport(self.incarnation, counts), lender)
+                self.send(messages.CountReport(self.incarnation, counts), leader)
             for told_good, told_bad in self.judgements.to_report(now, messages.MAX_SERVERS):
                 self.send(
                     messages.ServerObservations(
                         self.incarnation, told_good, told_bad, len(good) + len(bad), len(bad)
                     ),
-                    lender,
+                    leader,
                 )
-        if in_office:
+        if is_leader:
             if sums := self.counts.to_say():
                 self.send(messages.Aggregates(self.incarnation, sums))
             if judged := self.judgements.judged(now, len(self.servers())):
@@ -231,7 +238,7 @@
 
     def look(self, now: float) -> None:
         """Logs when a partition begins and ends; as the leader, which members are unreachable."""
-        if self.serving:
+        if self.leading:
             silent = {who for who, member in self.others.items() if now >= member.at + LEASE}
             for who in sorted(silent ^ self.silent):
                 self.log(f"fleet: {who} is {'no longer heard' if who in silent else 'heard again'}")
@@ -250,11 +257,11 @@
 
     def guard(self, now: float) -> None:
         """Danger: a state that cannot be is not spent from; it is said, and the reserve is left."""
-        office = [*self.ledgers.values()] if self.office.in_office(now) else []
+        ledgers = [*self.ledgers.values()] if self.election.is_leader(now) else []
         servers = self.servers()
         passed = self.judgements.passed_over(now, servers)
         try:
-            invariants.check(now, [*self.accounts.values()], office, self.coverage(now))
+            invariants.check(now, [*self.accounts.values()], ledgers, self.coverage(now))
             invariants.check_ceiling(passed, servers)
             grown = self.grown()
             invariants.check_grows(self.known, grown)
@@ -306,12 +313,12 @@
                 agreement.heard_at[who] = now
             self.heard_ask(now, who, message)
         elif isinstance(message, messages.Heartbeat):
-            lender = self.office.lender
-            if self.office.heard_beat(now, who, message):
+            leader = self.election.leader
+            if self.election.receive_heartbeat(now, who, message):
                 self.pre_vote(now, who, message)
-            if self.office.lender not in (lender, None):
+            if self.election.leader not in (leader, None):
                 self.ask_at = now  # a candidate waits for its supporters
-            if message.serves and self.follows(who, message.incarnation):
+            if message.is_leader and self.follows(who, message.incarnation):
                 self.covered = Coverage(message.reachable, self.members, message.oldest / MS)
                 self.covered_at = now
         elif isinstance(message, messages.LeaseGrant):
@@ -328,7 +335,7 @@
             self.judgements.said(
                 now, who, message.healthy, message.failing, message.tried_total, message.failing_total
             )
-        elif self.follows(who, message.incarnation) and self.office.serves:
+        elif self.follows(who, message.incarnation) and self.election.leader_elected:
             if isinstance(message, messages.Aggregates):
                 self.counts.summed({count.key: count.totals for count in message.counts})
             elif isinstance(message, messages.Ejections):
@@ -346,7 +353,7 @@
         if agreement is None:
             return
         if isinstance(message, messages.VersionAnnouncement):
-            if self.follows(who, message.incarnation) and self.office.serves:
+            if self.follows(who, message.incarnation) and self.election.leader_elected:
                 agreement.receive_announcement(now, who, message)
             elif not agreement.is_current:
                 agreement.learn_at_start(who, message)
@@ -360,7 +367,7 @@
             agreement.receive_publish_response(message)
 
     def follows(self, who: int, incarnation: int) -> bool:
-        return (who, incarnation) == (self.office.lender, self.office.lender_incarnation)
+        return (who, incarnation) == (self.election.leader, self.election.leader_incarnation)
 
     def heard_ask(self, now: float, who: int, ask: messages.LeaseRequest) -> None:
         own = who == self.number
@@ -369,13 +376,13 @@
             return  # Danger: late or repeated, it says what its process had, not what it has.
         member.asked = ask.sequence
         if ask.supports:
-            self.office.supported(now, who, ask.heartbeat, ask.term)
+            self.election.receive_support(now, who, ask.heartbeat, ask.term)
         if not own:
-            self.office.pre_voted(now, who, ask.heartbeat)
-        if not self.office.in_office(now):
+            self.election.receive_pre_vote(now, who, ask.heartbeat)
+        if not self.election.is_leader(now):
             return
-        self.serve(now)
-        if not self.office.fresh(ask.heartbeat):
+        self.update_leadership(now)
+        if not self.election.is_from_this_term(ask.heartbeat):
             return  # Sent before this term, it may claim a lease that was granted to another since.
         borrower: Borrower = who, ask.incarnation
         older = [(who, incarnation) for incarnation in member.older]
@@ -400,7 +407,7 @@
     def heard_grant(self, now: float, who: int, grant: messages.LeaseGrant) -> None:
         asked = grant.recipient == self.incarnation and grant.request == self.asked and self.unanswered
         if not asked or not self.follows(who, grant.incarnation):
-            return  # Danger: the lender counts on what this process said last; an older answer is void.
+            return  # The leader counts on the last request; an older answer is void.
         self.answered_at, self.unanswered = now, 0
         self.ask_at = self.asked_at + TELL * self.rng.uniform(0.9, 1.0)
         for lease in grant.leases:
@@ -414,6 +421,6 @@
             held = account.held
             account.begin_anew(now)
             account.held = held
-        self.office.begin_anew(now, self.incarnation)
+        self.election.begin_anew(now, self.incarnation)
         self.counts.begin_anew()
         self.log("fleet: this start was taken for an older one; it begins anew")
--- a/brambleplank/fleet/leader_election.py
+++ b/brambleplank/fleet/leader_election.py
@@ -22,22 +22,22 @@
 
 from brambleplank.fleet.messages import Heartbeat
 
-TELL = 1.0  # seconds between two beats, and between two askings
-LEASE = 4.0  # seconds that a promise, or a loan, holds
+TELL = 1.0  # seconds between two heartbeats, and between two requests
+LEASE = 4.0  # seconds that a promise, or a lease of a budget, holds
 RATE = 0.01  # by which clocks may differ
 LONGER, SHORTER = (1 + RATE) ** 2, (1 - RATE) ** 2
-KEPT_BEATS = 16
-FURTHEST = 1_000_000  # terms that one word may be ahead
+HEARTBEATS_KEPT = 16
+MAX_TERM_STEP = 1_000_000  # terms that one message may be ahead
 RELEASES = 3  # heartbeats by which one that stepped down tells its followers
 
 
 @dataclass(frozen=True)
-class DueBeat:
-    """A heartbeat that is to be sent now. One that does not stand holds no support: it asks for pre-votes."""
+class DueHeartbeat:
+    """A heartbeat that is to be sent now. Where its sender is no candidate, it asks for pre-votes."""
 
     term: int
-    number: int
-    stands: bool
+    sequence: int
+    is_candidate: bool  # or leader
 
 
 class LeaderElection:
@@ -46,189 +46,193 @@
     def __init__(self, number: int, members: int, incarnation: int, now: float, rng: Random) -> None:
         self.number, self.members, self.incarnation, self.rng = number, members, incarnation, rng
         self.majority = members // 2 + 1
-        self.lender: int | None = None  # who is followed
-        self.lender_incarnation = self.beat = 0
-        self.serves = False  # whether that one leads, as it says
-        self.beat_at = now  # when it was last heard
+        self.leader: int | None = None  # the member that is followed, or this one
+        self.leader_incarnation = self.heartbeat = 0
+        self.leader_elected = False  # whether that one leads, as it says
+        self.heartbeat_at = now  # when it was last heard
         self.promised_until = now + LEASE * LONGER  # nobody else is followed before
-        self.newest: dict[int, tuple[int, int]] = {}  # incarnation and number of each member's newest beat
-        self.term = self.seen = 0  # its own, or that of whom it follows; the newest that any told
+        self.newest: dict[int, tuple[int, int]] = {}  # incarnation and sequence of each member's newest
+        self.term = self.newest_term = 0  # this process's own; the newest that any member reported
         self.pre_votes: dict[int, float] = {}  # who would follow this process, and when that was asked
-        self.yielded_to: set[int] = (
-            set()
-        )  # whose question put off this process's own, since it followed anyone
+        # Members whose pre-vote request put off this process's own, since it last followed one.
+        self.yielded_to: set[int] = set()
         self.releases = 0  # heartbeats that are still to tell that this process stepped down
-        self.stands = False  # as candidate or leader
-        self.led = False  # it has led since it stands
-        self.give_up_at = 0.0  # when a candidacy without success ends
-        self.number_of_beat = 0
-        self.beat_due_at = now
-        self.asked: dict[int, float] = {}  # this process's own beats that asked for pre-votes, and when
-        self.sent: dict[int, float] = {}  # its own beats while it stands, and when
-        self.supports: dict[int, float] = {}  # who follows it, and until when
-        self.since: float | None = None  # it leads without a gap
-        self.stand_at = self.election_timeout(now)
+        self.is_candidate = False  # or leader
+        self.led = False  # it has led since it became a candidate
+        self.candidacy_ends_at = 0.0  # when a candidacy without success ends
+        self.sequence = 0  # of its newest heartbeat
+        self.heartbeat_due_at = now
+        self.pre_vote_requests: dict[int, float] = {}  # when it sent each heartbeat that asks for pre-votes
+        self.heartbeats_sent: dict[int, float] = {}  # when it sent each heartbeat as a candidate or leader
+        self.supporters: dict[int, float] = {}  # who follows it, and until when
+        self.leader_since: float | None = None  # since when it leads without a gap
+        self.election_at = self.election_timeout(now)
 
     def election_timeout(self, now: float) -> float:
-        """When to ask for pre-votes. Lower numbers first: asking all at once, more than one would stand."""
+        """When to ask for pre-votes. Lower numbers ask first, or several would become candidates at once."""
         turn = TELL * (1 / 4 + 2 * self.number / self.members) + self.rng.uniform(0, TELL / 4)
         return max(now, self.promised_until) + turn
 
-    def expires(self) -> float:
-        """When the majority's support ends, as it stands."""
-        held = sorted(self.supports.values(), reverse=True)
+    def support_expires(self) -> float:
+        """When the support of a majority ends."""
+        held = sorted(self.supporters.values(), reverse=True)
         return held[self.majority - 1] if len(held) >= self.majority else float("-inf")
 
-    def in_office(self, now: float) -> bool:
+    def is_leader(self, now: float) -> bool:
         """Whether this process leads."""
-        if self.stands and now < self.expires():
-            return self.since is not None
-        self.since = None
+        if self.is_candidate and now < self.support_expires():
+            return self.leader_since is not None
+        self.leader_since = None
         return False
 
-    def fresh(self, beat: int) -> bool:
-        """Whether who names this beat spoke since this process has led without a gap."""
-        return self.since is not None and self.sent.get(beat, float("-inf")) >= self.since
+    def is_from_this_term(self, sequence: int) -> bool:
+        """Whether a heartbeat was sent since this process has led without a gap."""
+        sent_at = self.heartbeats_sent.get(sequence, float("-inf"))
+        return self.leader_since is not None and sent_at >= self.leader_since
 
-    # What this process hears.
+    # Messages received.
 
-    def heard_beat(self, now: float, who: int, beat: Heartbeat) -> bool:
+    def receive_heartbeat(self, now: float, who: int, heartbeat: Heartbeat) -> bool:
         """Whether it is to be answered by a pre-vote."""
-        self.see(beat.term)
-        if who == self.number or self.newest.get(who, (0, 0)) >= (beat.incarnation, beat.number):
+        self.see_term(heartbeat.term)
+        if who == self.number or self.newest.get(who, (0, 0)) >= (heartbeat.incarnation, heartbeat.sequence):
             return False  # late or repeated; it would look like life
-        self.newest[who] = beat.incarnation, beat.number
-        if beat.asks_pre_votes:
-            return self.heard_question(now, who, beat)
-        if self.stands and not self.in_office(now) and (beat.serves or who < self.number):
+        self.newest[who] = heartbeat.incarnation, heartbeat.sequence
+        if heartbeat.asks_pre_votes:
+            return self.receive_pre_vote_request(now, who, heartbeat)
+        if self.is_candidate and not self.is_leader(now) and (heartbeat.is_leader or who < self.number):
             self.step_down(now)
-        same = (who, beat.incarnation) == (self.lender, self.lender_incarnation)
+        same = (who, heartbeat.incarnation) == (self.leader, self.leader_incarnation)
         if not same and now < self.promised_until:
             return False  # Followed while a promise to another holds, two could lead at once.
-        self.follow(now, who, beat)
+        self.follow(now, who, heartbeat)
         return False
 
-    def heard_question(self, now: float, who: int, beat: Heartbeat) -> bool:
-        """One that stands no longer, or not yet, asks who would follow it."""
-        if (who, beat.incarnation) == (self.lender, self.lender_incarnation):
+    def receive_pre_vote_request(self, now: float, who: int, heartbeat: Heartbeat) -> bool:
+        """A member that is no candidate asks who would follow it. Whether to answer by a pre-vote."""
+        if (who, heartbeat.incarnation) == (self.leader, self.leader_incarnation):
             self.release(now)
-        if self.stands or now < self.promised_until:
+        if self.is_candidate or now < self.promised_until:
             return False
         if who not in self.yielded_to:
             # Only once for each: one that hears no answer asks for ever.
             self.yielded_to.add(who)
-            self.stand_at = max(self.stand_at, now + TELL)
+            self.election_at = max(self.election_at, now + TELL)
         return True
 
     def release(self, now: float) -> None:
-        """Its leader has stepped down, and forgot what this process promised for earlier heartbeats."""
-        self.lender = None
-        self.serves = False
+        """The leader has stepped down, and does not count on promises for earlier heartbeats."""
+        self.leader = None
+        self.leader_elected = False
         self.promised_until = now
-        self.stand_at = self.election_timeout(now)
+        self.election_at = self.election_timeout(now)
 
-    def follow(self, now: float, who: int, beat: Heartbeat) -> None:
+    def follow(self, now: float, who: int, heartbeat: Heartbeat) -> None:
+        """Follows the sender of a heartbeat, for a lease from now on."""
         self.withdraw()
         self.pre_votes.clear()
         self.yielded_to.clear()
-        self.lender, self.lender_incarnation, self.beat = who, beat.incarnation, beat.number
-        self.serves, self.beat_at = beat.serves, now
+        self.leader, self.leader_incarnation, self.heartbeat = who, heartbeat.incarnation, heartbeat.sequence
+        self.leader_elected, self.heartbeat_at = heartbeat.is_leader, now
         self.promised_until = now + LEASE * LONGER  # its promise names this heartbeat, however late it goes
-        self.stand_at = self.election_timeout(now)
+        self.election_at = self.election_timeout(now)
 
-    def see(self, term: int) -> None:
-        """Danger: one that lies of terms would bring all to the end of what a word can say."""
-        if self.seen < term <= self.seen + FURTHEST:
-            self.seen = term
+    def see_term(self, term: int) -> None:
+        """Notes a term. The step is bounded, or a faulty member could use up all that a message can hold."""
+        if self.newest_term < term <= self.newest_term + MAX_TERM_STEP:
+            self.newest_term = term
 
     def promise(self, now: float) -> bool:
         """Whether this process follows its leader, up to the end of the lease from its last heartbeat."""
-        return self.lender not in (None, self.number) and now < self.promised_until
+        return self.leader not in (None, self.number) and now < self.promised_until
 
-    def pre_voted(self, now: float, who: int, beat: int) -> None:
+    def receive_pre_vote(self, now: float, who: int, sequence: int) -> None:
         """Who would follow this process, in answer to one of its heartbeats."""
-        if not self.stands and beat in self.asked:
-            self.pre_votes[who] = self.asked[beat]
+        if not self.is_candidate and sequence in self.pre_vote_requests:
+            self.pre_votes[who] = self.pre_vote_requests[sequence]
 
-    def supported(self, now: float, who: int, beat: int, term: int = 0) -> None:
-        """Who follows this process, and which beat it names.
+    def receive_support(self, now: float, who: int, sequence: int, term: int = 0) -> None:
+        """A member follows this process, and names the heartbeat that it promised for.
 
-        Danger: counted from now, it would last too long.
+        Counted from now and not from that heartbeat, the support would outlast the promise.
         """
-        if not self.stands or beat not in self.sent:
+        if not self.is_candidate or sequence not in self.heartbeats_sent:
             return
-        if now >= self.expires():
-            self.since = None
-        until = self.sent[beat] + LEASE * SHORTER
-        self.supports[who] = max(until, self.supports.get(who, until))
-        self.see(term)
-        if self.since is None and now < self.expires():
-            # Danger: a lower term than that of the one before would let an older agreement go before a newer.
-            self.since, self.term, self.led = now, max(self.term, self.seen + 1), True
-
-    # What this process does by itself.
-
-    def due_beat(self, now: float) -> DueBeat | None:
-        """A heartbeat that is to be sent now, if one is. Called often; it also stands and steps down."""
-        if self.stands and not self.in_office(now) and (self.led or now >= self.give_up_at):
+        if now >= self.support_expires():
+            self.leader_since = None
+        until = self.heartbeats_sent[sequence] + LEASE * SHORTER
+        self.supporters[who] = max(until, self.supporters.get(who, until))
+        self.see_term(term)
+        if self.leader_since is None and now < self.support_expires():
+            # With a lower term than the last leader's, an older agreement would replace a newer one.
+            self.leader_since, self.term, self.led = now, max(self.term, self.newest_term + 1), True
+
+    # Heartbeats to be sent.
+
+    def due_heartbeat(self, now: float) -> DueHeartbeat | None:
+        """A heartbeat that is to be sent now, if one is.
+
+        Called often: it also makes this process a candidate, and has it step down.
+        """
+        if self.is_candidate and not self.is_leader(now) and (self.led or now >= self.candidacy_ends_at):
             self.step_down(now)
-        asks = not self.stands and now >= max(self.stand_at, self.promised_until)
+        asks = not self.is_candidate and now >= max(self.election_at, self.promised_until)
         if asks and self.has_pre_votes(now):
-            self.stand(now)
-        if now < self.beat_due_at or not (asks or self.stands or self.releases):
+            self.become_candidate(now)
+        if now < self.heartbeat_due_at or not (asks or self.is_candidate or self.releases):
             return None
-        return self.next_beat(now)
+        return self.next_heartbeat(now)
 
-    def next_beat(self, now: float) -> DueBeat:
-        self.number_of_beat += 1
-        self.beat_due_at = now + TELL
-        if not self.stands:
+    def next_heartbeat(self, now: float) -> DueHeartbeat:
+        self.sequence += 1
+        self.heartbeat_due_at = now + TELL
+        if not self.is_candidate:
             self.releases = max(0, self.releases - 1)
-            self.remember(self.asked, now)
-            return DueBeat(self.seen, self.number_of_beat, False)
-        self.remember(self.sent, now)
+            self.remember(self.pre_vote_requests, now)
+            return DueHeartbeat(self.newest_term, self.sequence, False)
+        self.remember(self.heartbeats_sent, now)
         self.promised_until = now + LEASE * LONGER
-        self.supported(now, self.number, self.number_of_beat)
-        return DueBeat(self.term, self.number_of_beat, True)
+        self.receive_support(now, self.number, self.sequence)
+        return DueHeartbeat(self.term, self.sequence, True)
 
-    def remember(self, beats: dict[int, float], now: float) -> None:
-        beats[self.number_of_beat] = now
-        while len(beats) > KEPT_BEATS:
-            del beats[next(iter(beats))]
+    def remember(self, heartbeats: dict[int, float], now: float) -> None:
+        heartbeats[self.sequence] = now
+        while len(heartbeats) > HEARTBEATS_KEPT:
+            del heartbeats[next(iter(heartbeats))]
 
     def has_pre_votes(self, now: float) -> bool:
         lately = sum(at > now - LEASE / 2 for at in self.pre_votes.values())
         return 1 + lately >= self.majority
 
-    def stand(self, now: float) -> None:
-        """A majority would follow this process. What it heard before is of no use for the next candidacy."""
-        self.seen += 1
-        self.stands, self.led, self.term, self.since = True, False, self.seen, None
-        self.lender, self.lender_incarnation = self.number, self.incarnation
+    def become_candidate(self, now: float) -> None:
+        """A majority would follow this process. Its pre-votes do not count for a later candidacy."""
+        self.newest_term += 1
+        self.is_candidate, self.led, self.term, self.leader_since = True, False, self.newest_term, None
+        self.leader, self.leader_incarnation = self.number, self.incarnation
         self.pre_votes.clear()
         self.releases = 0
-        self.beat_due_at = now
-        self.give_up_at = now + self.rng.uniform(2.5 * TELL, LEASE)
+        self.heartbeat_due_at = now
+        self.candidacy_ends_at = now + self.rng.uniform(2.5 * TELL, LEASE)
 
     def step_down(self, now: float) -> None:
-        """Two that stand against each other, each with half of the fleet, would do so for ever."""
+        """Frees the supporters. Two candidates with half of the fleet each would remain so for ever."""
         self.withdraw()
-        self.lender = None
+        self.leader = None
         self.promised_until = now  # it was to itself
-        self.stand_at = now + self.rng.uniform(TELL / 4, LEASE / 2)
+        self.election_at = now + self.rng.uniform(TELL / 4, LEASE / 2)
         self.releases = RELEASES
-        self.beat_due_at = now
+        self.heartbeat_due_at = now
 
     def withdraw(self) -> None:
-        """Nobody is counted upon as a supporter from here on, whatever arrives late."""
-        self.stands, self.since = False, None
-        self.supports.clear()
-        self.sent.clear()
+        """Drops all support, also that of messages that arrive late."""
+        self.is_candidate, self.leader_since = False, None
+        self.supporters.clear()
+        self.heartbeats_sent.clear()
 
     def begin_anew(self, now: float, incarnation: int) -> None:
-        """As a start: it may have promised before under its old incarnation."""
+        """Starts over. Under its old incarnation this process may have promised to follow another."""
         self.withdraw()
         self.pre_votes.clear()
-        self.incarnation, self.lender, self.beat = incarnation, None, 0
+        self.incarnation, self.leader, self.heartbeat = incarnation, None, 0
         self.promised_until = now + LEASE * LONGER
-        self.stand_at = self.election_timeout(now)
+        self.election_at = self.election_timeout(now)
--- a/brambleplank/fleet/messages.py
+++ b/brambleplank/fleet/messages.py
@@ -38,15 +38,15 @@
     """
 
     term: Whole
-    number: Whole  # of this heartbeat; members name it when they support the sender
-    serves: bool  # the sender is the leader
+    sequence: Whole  # of this heartbeat; members name it when they support the sender
+    is_leader: bool
     reachable: Whole  # members that the sender hears from, itself included; 0: neither leader nor candidate
     oldest: Whole  # ms since the least recent of them was heard from
 
     @property
     def asks_pre_votes(self) -> bool:
         """Never true of earlier releases, whose candidates need no pre-votes: they count themselves."""
-        return not self.serves and self.reachable == 0
+        return not self.is_leader and self.reachable == 0
 
 
 class Allocation(msgspec.Struct, array_like=True, frozen=True):
--- a/brambleplank/fleet/routing.py
+++ b/brambleplank/fleet/routing.py
@@ -96,7 +96,7 @@
                 self.log("routes: not published; the table in force stays")
             else:
                 self.keep(digest, table)
-                self.agreement.publish(now, text, self.fleet.office.lender)
+                self.agreement.publish(now, text, self.fleet.election.leader)
 
         self.work(lambda: self.read(text, True), done)
 
--- a/tests/test_elections.py
+++ b/tests/test_elections.py
@@ -7,7 +7,7 @@
 import pytest
 
 from benchmarks.elections import FAULTS, LOSSES, Play, play
-from brambleplank.fleet.leader_election import LEASE, LONGER, DueBeat, LeaderElection
+from brambleplank.fleet.leader_election import LEASE, LONGER, DueHeartbeat, LeaderElection
 from brambleplank.fleet.messages import Heartbeat
 
 SEEDS = range(60)
@@ -48,56 +48,56 @@
 def member(number: int = 0, now: float = 100.0) -> LeaderElection:
     """One whose start is long over."""
     made = LeaderElection(number, 3, 1, now - 2 * LEASE, Random(1))
-    made.stand_at = float("inf")
+    made.election_at = float("inf")
     return made
 
 
 def test_a_pre_vote_binds_nobody_and_is_given_by_none_that_follows_another() -> None:
     one = member()
-    assert one.heard_beat(100.0, 1, question(1)) and one.heard_beat(100.0, 2, question(1))
-    assert one.lender is None and not one.promise(100.0)
-    one.heard_beat(100.1, 2, candidacy(2))
-    assert one.promise(100.1) and not one.heard_beat(100.2, 1, question(2))
+    assert one.receive_heartbeat(100.0, 1, question(1)) and one.receive_heartbeat(100.0, 2, question(1))
+    assert one.leader is None and not one.promise(100.0)
+    one.receive_heartbeat(100.1, 2, candidacy(2))
+    assert one.promise(100.1) and not one.receive_heartbeat(100.2, 1, question(2))
     assert one.promise(100.2)
 
 
 def test_a_promise_ends_with_its_lease_or_as_its_own_leader_steps_down_and_not_by_a_late_question() -> None:
     one = member()
-    one.heard_beat(100.0, 1, candidacy(5))
-    assert not one.heard_beat(100.1, 1, question(4)) and one.promise(100.1)
-    assert one.heard_beat(100.2, 1, question(6)) and not one.promise(100.2)
-    one.heard_beat(100.3, 1, candidacy(5))  # sent before it stepped down
+    one.receive_heartbeat(100.0, 1, candidacy(5))
+    assert not one.receive_heartbeat(100.1, 1, question(4)) and one.promise(100.1)
+    assert one.receive_heartbeat(100.2, 1, question(6)) and not one.promise(100.2)
+    one.receive_heartbeat(100.3, 1, candidacy(5))  # sent before it stepped down
     assert not one.promise(100.3)
-    one.heard_beat(100.4, 2, candidacy(1))
+    one.receive_heartbeat(100.4, 2, candidacy(1))
     assert one.promise(100.4 + LEASE) and not one.promise(100.4 + LEASE * LONGER)
 
 
-def beats(of: LeaderElection, now: float, seconds: float) -> list[DueBeat]:
+def beats(of: LeaderElection, now: float, seconds: float) -> list[DueHeartbeat]:
     times = [now + 0.1 * n for n in range(int(10 * seconds))]
-    return [due for at in times if (due := of.due_beat(at)) is not None]
+    return [due for at in times if (due := of.due_heartbeat(at)) is not None]
 
 
 def test_one_that_hears_no_pre_votes_asks_and_never_stands() -> None:
     one = member()
-    one.stand_at = 0.0
+    one.election_at = 0.0
     sent = beats(one, 100.0, 60.0)
-    assert len(sent) >= 50 and not any(due.stands for due in sent) and not one.seen
+    assert len(sent) >= 50 and not any(due.is_candidate for due in sent) and not one.newest_term
 
 
 def test_a_leader_without_its_majority_steps_down_says_so_and_counts_on_nobody() -> None:
     one = member()
-    one.stand_at = 0.0
-    asked = one.due_beat(100.0)
+    one.election_at = 0.0
+    asked = one.due_heartbeat(100.0)
     assert asked is not None
-    one.pre_voted(100.1, 1, asked.number)
-    stood = one.due_beat(100.2)
-    assert stood is not None and stood.stands
-    one.supported(100.3, 1, stood.number)
-    assert one.in_office(100.3)
+    one.receive_pre_vote(100.1, 1, asked.sequence)
+    stood = one.due_heartbeat(100.2)
+    assert stood is not None and stood.is_candidate
+    one.receive_support(100.3, 1, stood.sequence)
+    assert one.is_leader(100.3)
     sent = beats(one, 100.4, 2 * LEASE)
-    last = max(due.number for due in sent if due.stands)
-    stepped_down = [due for due in sent if due.number > last]
-    assert len(stepped_down) >= 3 and not one.stands
-    one.supported(100.4 + 2 * LEASE, 1, last)
-    one.supported(100.4 + 2 * LEASE, 2, last)
-    assert not one.in_office(100.4 + 2 * LEASE) and not one.supports
+    last = max(due.sequence for due in sent if due.is_candidate)
+    stepped_down = [due for due in sent if due.sequence > last]
+    assert len(stepped_down) >= 3 and not one.is_candidate
+    one.receive_support(100.4 + 2 * LEASE, 1, last)
+    one.receive_support(100.4 + 2 * LEASE, 2, last)
+    assert not one.is_leader(100.4 + 2 * LEASE) and not one.supporters
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -128,7 +128,7 @@
 
 
 FAULTS: dict[str, tuple[Any, str, str, str]] = {
-    "a lender forgets what was spent within the window": (
+    "a leader forgets what was spent within the window": (
         budgets.Ledger,
         "lease_end",
         "(LEASE + window)",
@@ -140,7 +140,7 @@
         "else inf",
         "else now + LEASE",
     ),
-    "a new lender lends at once": (budgets.Ledger, "begin_term", "self.lease_end(now)", "now"),
+    "a new leader lends at once": (budgets.Ledger, "begin_term", "self.lease_end(now)", "now"),
     "who asks has more than it says": (
         budgets.Account,
         "release_unused",
@@ -164,14 +164,14 @@
     "a start promises at once": (leader_election.LeaderElection, "__init__", "now + LEASE * LONGER", "now"),
     "any question frees from a promise": (
         leader_election.LeaderElection,
-        "heard_question",
-        "(who, beat.incarnation) == (self.lender, self.lender_incarnation)",
+        "receive_pre_vote_request",
+        "(who, heartbeat.incarnation) == (self.leader, self.leader_incarnation)",
         "True",
     ),
     "a promise counts from its arrival": (
         leader_election.LeaderElection,
-        "supported",
-        "self.sent[beat] + LEASE * SHORTER",
+        "receive_support",
+        "self.heartbeats_sent[sequence] + LEASE * SHORTER",
         "now + LEASE",
     ),
 }
@@ -215,36 +215,36 @@
     world.run(15)
     use(1, 20)
     assert use(1, 20) >= 0.95
-    lender = world.lender()
-    assert lender is not None and "out of the dark" in lender.lines[-1]
-    few = {lender.number, (lender.number + 1) % 5}
+    leader = world.leader()
+    assert leader is not None and "out of the dark" in leader.lines[-1]
+    few = {leader.number, (leader.number + 1) % 5}
     world.cut(few, set(range(5)) - few)
-    many = (lender.number + 2) % 5
+    many = (leader.number + 2) % 5
     use(many, 20)
     assert use(many, 10) >= 0.8
-    assert use(lender.number, 10) * budget.limit <= 2 * budget.reserve(lender.number) + 1
-    assert "fleet: in the dark" in lender.lines[-1] or "out of office" in lender.lines[-1]
-    fleet_of = world.nodes[lender.number].fleet
-    assert fleet_of and str(fleet_of.coverage(world.clock(lender))).startswith("1 of 5 heard")
+    assert use(leader.number, 10) * budget.limit <= 2 * budget.reserve(leader.number) + 1
+    assert "fleet: in the dark" in leader.lines[-1] or "out of office" in leader.lines[-1]
+    fleet_of = world.nodes[leader.number].fleet
+    assert fleet_of and str(fleet_of.coverage(world.clock(leader))).startswith("1 of 5 heard")
     world.links.cut.clear()
     world.run(15)
-    assert use(lender.number, 10) >= 0.8 and world.most["rate"] <= budget.limit
-    assert "fleet: out of the dark: " in lender.lines[-1]
-    assert str(fleet_of.coverage(world.clock(lender))).startswith("5 of 5 heard")
+    assert use(leader.number, 10) >= 0.8 and world.most["rate"] <= budget.limit
+    assert "fleet: out of the dark: " in leader.lines[-1]
+    assert str(fleet_of.coverage(world.clock(leader))).startswith("5 of 5 heard")
 
 
 def test_one_that_is_heard_and_hears_nobody_does_not_keep_others_from_the_office() -> None:
     for seed in range(8):
         world = World(5, [], seed)
         world.run(20)
-        deaf = world.lender()
+        deaf = world.leader()
         assert deaf is not None
         world.links.cut = {(n, deaf.number) for n in range(5)}
         world.run(20)
-        serving = world.lender()
+        serving = world.leader()
         assert serving is not None and serving is not deaf
         world.run(40)
-        assert world.lender() is serving
+        assert world.leader() is serving
 
 
 @given(st.lists(st.floats(0.01, 3), max_size=60), st.floats(0.1, 9))
@@ -380,14 +380,14 @@
 def test_a_start_whose_clock_was_set_back_is_told_so_and_is_heard_again() -> None:
     world = World(3, [Budget("rate", 30, 2.0, 3)], 5)
     world.run(20)
-    lender = world.lender()
-    assert lender is not None
-    node = world.nodes[(lender.number + 1) % 3]
+    leader = world.leader()
+    assert leader is not None
+    node = world.nodes[(leader.number + 1) % 3]
     world.kill(node)
     world.start(node)
     world.run(10)
     assert node.fleet
-    node.fleet.incarnation = node.fleet.office.incarnation = 1
+    node.fleet.incarnation = node.fleet.election.incarnation = 1
     world.run(20)
     assert any("begins anew" in line for line in node.lines) and world.served == 0
     assert world.take(node, "rate")
--- a/tests/test_retirement.py
+++ b/tests/test_retirement.py
@@ -246,9 +246,9 @@
 def test_a_clock_that_jumps_moves_nothing_and_where_all_jump_no_step_is_left_out() -> None:
     world = retires()
     world.up_to(30)
-    lender = world.lender()
-    assert lender is not None
-    world.jumps[lender.number] = 1e6
+    leader = world.leader()
+    assert leader is not None
+    world.jumps[leader.number] = 1e6
     world.up_to(35)
     assert world.places() == {(1, "")}
     for n in range(5):
@@ -264,22 +264,22 @@
 def test_in_the_dark_it_stays_and_turns_nobody_away_and_a_new_lender_goes_on_from_there() -> None:
     world = retires()
     world.up_to(110)
-    lender = world.lender()
-    assert lender is not None
+    leader = world.leader()
+    assert leader is not None
     caller = next(key for key in range(99) if not world.come(0, key))
-    alone = (lender.number + 1) % 5
+    alone = (leader.number + 1) % 5
     world.cut({alone}, {n for n in range(5) if n != alone})
     world.run(6)
     assert world.come(alone, caller)
-    world.kill(lender)
+    world.kill(leader)
     world.up_to(170)
     assert world.place(alone) == (4, "")
-    others = [n for n in range(5) if n not in (alone, lender.number)]
+    others = [n for n in range(5) if n not in (alone, leader.number)]
     # With three of five heard coverage is too small to know.
     assert {world.place(n)[1] for n in others} == {"coverage is too small: 3 of 5 heard"} or all(
         world.place(n)[1].startswith("coverage is too small: 3 of 5") for n in others
     )
-    world.start(lender)
+    world.start(leader)
     world.links.cut.clear()
     world.run(QUIET + 60)
     assert len(world.places()) == 1 and world.place(alone) == (6, "")
--- a/tests/test_routes.py
+++ b/tests/test_routes.py
@@ -198,7 +198,7 @@
     def publish(self, n: int, text: bytes) -> None:
         fleet = self.nodes[n].fleet
         assert fleet is not None
-        self.agreement(n).publish(self.clock(self.nodes[n]), text, fleet.office.lender)
+        self.agreement(n).publish(self.clock(self.nodes[n]), text, fleet.election.leader)
 
     def digests(self) -> set[int]:
         return {self.agreement(node.number).digest for node in self.nodes if node.fleet}
@@ -242,9 +242,9 @@
         world.publish(2, Random(2).randbytes(4000))
         world.run(after)
         world.kill(world.nodes[2])
-        lender = world.lender()
-        if after in (1.5, 2.5) and lender is not None:
-            world.kill(lender)
+        leader = world.leader()
+        if after in (1.5, 2.5) and leader is not None:
+            world.kill(leader)
         world.run(40)
         assert len(world.digests()) == 1
 
