--- a/brambleplank/fleet/counts.py
+++ b/brambleplank/fleet/counts.py
@@ -47,9 +47,9 @@
 
     def __init__(self) -> None:
         self.own: dict[str, Totals] = {}
-        self.fleet: dict[str, Totals] = {}  # as told by who is in office
+        self.fleet: dict[str, Totals] = {}  # aggregates, as received from the leader
         self.untold: dict[str, None] = {}  # keys that have changed since they were told, longest ago first
-        # What each member told, where this process is in office.
+        # What each member reported, where this process leads.
         self.members: dict[int, tuple[int, dict[str, Totals]]] = {}
         self.gathered: dict[str, Totals] = {}  # all that they told, of every start
         self.unsaid: dict[str, None] = {}  # sums that are to be told
@@ -65,7 +65,7 @@
         return fitting(self.untold, self.own)
 
     def to_say(self) -> list[Count]:
-        """Sums by who is in office, in turn over those that have changed."""
+        """Aggregates to be sent by the leader, in turn over those that have changed."""
         return fitting(self.unsaid, self.fleet)
 
     def told(self, who: int, incarnation: int, counts: Iterable[Count]) -> None:
@@ -86,7 +86,7 @@
                 self.unsaid[key] = None
 
     def known(self, key: str) -> str:
-        """Danger: many members with names of their own would fill the memory of who is in office."""
+        """The key to count under. Members with many names of their own would fill the leader's memory."""
         return key if key in self.fleet or len(self.fleet) < MOST_KEYS else OTHER
 
     def summed(self, sums: dict[str, Totals]) -> None:
--- a/brambleplank/fleet/judgements.py
+++ b/brambleplank/fleet/judgements.py
@@ -114,7 +114,7 @@
         member.ill = 2 * ill > tried
 
     def judged(self, now: float, servers: int) -> list[int]:
-        """Whom several call bad, of so many servers in all: said by who is in office."""
+        """Whom several call bad, of so many servers in all: decided by the leader."""
         members = [member for member in self.members.values() if not member.ill]
         suspects = frozenset(tag for member in members for report in member.reports for tag in report.bad)
         good: Counter[int] = Counter()
--- a/brambleplank/fleet/retiring.py
+++ b/brambleplank/fleet/retiring.py
@@ -1,6 +1,6 @@
 """How far the retirements of the table in force are, agreed on by the fleet; and what that means for a flow.
 
-Who is in office moves a retirement on by one step at a time, once its date has come by its clock and the
+The leader moves a retirement on by one step at a time, once its date has come by its clock and the
 step before has lasted for a while; a majority must find so too by clocks of their own. It halts one by
 evidence, and lets it go on after a quiet time. Each process turns callers away by the steps in force alone,
 only while it holds a lease: a halt that does not reach it binds it when its lease expires. Free of I/O;
@@ -33,7 +33,7 @@
 KIND = 1
 DWELL = 1 / 4  # of the time between two steps that the first lasts at least, whatever a clock says
 LEAST_DWELL = 2 * TELL
-EARLY = LEASE  # seconds by which a member's clock may be behind that of who is in office
+EARLY = LEASE  # seconds by which a member's clock may be behind the leader's
 MINUTE = 60.0  # seconds over which evidence is weighed
 SAMPLES = 12
 QUIET = 30.0  # seconds without evidence until a halt is over
@@ -175,7 +175,7 @@
         steps = self.steps_of(told)
         return steps[step] if 0 <= step < len(steps) else None
 
-    # Who is in office.
+    # As the leader.
 
     def turn(self, now: float) -> None:
         self.now = now
