--- a/brambleplank/fleet/messages.py
+++ b/brambleplank/fleet/messages.py
@@ -17,7 +17,7 @@
 FORMAT = 2  # the first byte of a datagram
 MAX_DATAGRAM = 256  # bytes, the limit of the platform
 MAX_NAME = 40  # characters of one part of a counted key
-MAX_SERVERS = 40  # servers named in one message
+MAX_SERVERS = 40  # servers named in one message; more take several
 CHUNK_SIZE = 200  # bytes of a text in one message
 MAX_REASON = 150  # characters of an objection
 Whole = Annotated[int, Meta(ge=0, le=2**53)]
@@ -38,15 +38,15 @@
     """
 
     term: Whole
-    number: Whole  # of this heartbeat; members name it when they support the sender
-    serves: bool  # the sender is the leader
+    sequence: Whole  # of this heartbeat; members name it when they support the sender
+    is_leader: bool
     reachable: Whole  # members that the sender hears from, itself included; 0: neither leader nor candidate
     oldest: Whole  # ms since the least recent of them was heard from
 
     @property
     def asks_pre_votes(self) -> bool:
         """Never true of earlier releases, whose candidates need no pre-votes: they count themselves."""
-        return not self.serves and self.reachable == 0
+        return not self.is_leader and self.reachable == 0
 
 
 class Allocation(msgspec.Struct, array_like=True, frozen=True):
