A cold server's small budgets are as before: larger ones showed no gain

Need: the larger small budgets (N / 2 + root N where N is below 4) also change fleets whose processes speak. The slots of two fall times for 150 processes and more that do not speak to each other stay; for all others the code decides as before them.

--- a/brambleplank/decide.py
+++ b/brambleplank/decide.py
@@ -149,7 +149,7 @@
         stands = stood * server.size / self.balancer.usual_size / self.terms.ramp_time
         a_second = max(stands, alike * self.balancer.served_rate(now)) * able / max(1, self.balancer.warm)
         most = self.terms.overload_factor * a_second * self.terms.fall_time
-        return max(1.0, most / 2 + sqrt(most))  # Danger: any time touches two slots, rounded up
+        return max(1.0, min(most, most / 2 + sqrt(most)))  # Danger: any time touches two slots, rounded up
 
     def onward(self, now: float, flow: Flow) -> bool:
         server, balancer = flow.target, self.balancer
