--- a/brambleplank/decide.py
+++ b/brambleplank/decide.py
@@ -135,7 +135,7 @@
     def budget(self, now: float, server: Server) -> float:
         """Connects of all proxies in a slot; one harms nobody."""
         most = self.sustainable(now, server)
-        return max(1.0, most / 2 + sqrt(most))  # Danger: any time touches two slots, rounded up
+        return max(1.0, min(most, most / 2 + sqrt(most)))  # Danger: any time touches two slots, rounded up
 
     def sustainable(self, now: float, server: Server) -> float:
         """Connects that it bears at this age in the time in which it falls, by what warm servers bear."""
