--- /dev/null
+++ b/tests/test_machine_faults.py
@@ -0,0 +1,82 @@
+"""The machine's own faults on the real program: a stepped wall clock, system calls that fail."""
+
+from __future__ import annotations
+
+import json
+import threading
+import time
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from tests.conftest import SETTINGS, Discovery, Program, Server, told
+from tests.faults import Faults
+
+Run = Callable[..., Program]
+HOUR = 3600.0
+SESSIONS, A_SECOND = 90, 45
+
+
+def fleet(servers: list[Server], **changes: Any) -> dict[str, Any]:
+    return told(41, True, **{f"s{i}": server.dial for i, server in enumerate(servers)})
+
+
+def answers(program: Program, count: int, apart: float = 0.0) -> list[str]:
+    """What so many clients hear, who come one after another and end their connection at once."""
+    pause, heard = threading.Event(), []
+    for number in range(count):
+        client = program.opening(key=f"{number:x}")
+        heard.append(client.hear())
+        client.conn.close()
+        pause.wait(apart)
+    return heard
+
+
+@pytest.mark.parametrize("step", [-HOUR, -5.0, 5.0, HOUR])
+def test_a_step_of_the_wall_clock_moves_no_deadline(run: Run, tmp_path: Path, step: float) -> None:
+    faults, silent = Faults(tmp_path), Server(None)
+    program = run(fleet([silent]), patch=faults.patch)
+    client = program.opening(kind="order", d=900)
+    silent.next()
+    begun = time.monotonic()
+    faults.set(program.process, wall=step)
+    assert client.hear() == "FAIL"
+    assert 0.3 < time.monotonic() - begun < 1.4
+
+
+@pytest.mark.parametrize(
+    "at_start, later", [(0.0, 0.0), (HOUR, HOUR), (0.0, -HOUR), (-HOUR, -HOUR), (0.0, HOUR)]
+)
+def test_a_server_that_has_just_started_is_cold_whatever_the_wall_clock_says(
+    run: Run, tmp_path: Path, at_start: float, later: float
+) -> None:
+    faults = Faults(tmp_path, wall=at_start)
+    servers = [Server() for _ in range(5)]
+    rules = {**SETTINGS["rules"], "overload_factor": 1.5, "cold_from": 0.1}
+    settings = {**SETTINGS, "rules": rules}
+    program = run(fleet(servers[:4]), patch=faults.patch, settings=settings)
+    first, watch = program.discovery.watch()
+    faults.set(program.process, wall=later)
+    change = told(42, False, s4=servers[4].dial)
+    # A clock that is stepped while the process runs is also that of the machine that tells the start.
+    change["hosts"][0]["born_ms"] = round((time.time() + later - at_start) * 1000)
+    Discovery.tell(watch, json.dumps(change))
+    heard = answers(program, SESSIONS, 1 / A_SECOND)
+    assert {answer.split(" ")[0] for answer in heard} == {"UP"}
+    # A warm server's share is a fifth of all; a cold one bears 0.15 to 0.3 of that here.
+    assert 0 < servers[4].count <= 0.4 * SESSIONS / 5
+
+
+def test_connections_that_cannot_be_accepted_for_a_moment_wait_in_the_kernel(
+    run: Run, tmp_path: Path
+) -> None:
+    faults = Faults(tmp_path)
+    program = run(fleet([Server(), Server()]), patch=faults.patch)
+    assert answers(program, 1) == ["UP r1"]
+    for name in ("EMFILE", "ENFILE", "ENOBUFS", "ECONNABORTED"):
+        faults.set(program.process, fail={"accept": (0.5, name)})
+        assert answers(program, 25) == ["UP r1"] * 25, name
+    faults.set(program.process)
+    assert "fault" not in program.stop()
