--- a/brambleplank/fronts/line/clients.py
+++ b/brambleplank/fronts/line/clients.py
@@ -238,3 +238,6 @@
 
     def room(self) -> int:
         return self.proxy.door.room()
+
+    def accept_failed(self, number: int | None) -> None:
+        self.proxy.local_faults.note("accept", number)
--- a/brambleplank/net/buffers.py
+++ b/brambleplank/net/buffers.py
@@ -7,11 +7,16 @@
 
 from twisted.internet import main, tcp
 from twisted.internet.error import TimeoutError
+from twisted.logger import Logger
 
+from brambleplank.net.local_faults import ACCEPT_NEXT
 from brambleplank.net.loop import reactor
 
+LOG = Logger()
 SIZE = 16 * 1024  # several lines of the longest kind
 BACKLOG = 1024  # connections that the kernel holds ready; each may already have sent its line
+ACCEPTED_AT_ONCE = 100  # connections in one pass of the loop
+ACCEPT_AGAIN = 0.02  # seconds until the next try, where this machine could not accept
 LINGER = 1.5  # seconds that the other side has to read what is left, and to end its own side
 
 
@@ -140,16 +145,50 @@
     held = False
     given = False  # to another process, which lets in
     factory: Any
-    numberAccepts: int  # noqa: N815
+    socket: Any
+    transport: Any
+    sessionno: int
+    reactor: Any
 
     def doRead(self) -> None:  # noqa: N802
+        """Accepts as many as there is room for.
+
+        Twisted's own accepts and closes what it has no descriptor for, and would go on at once with any other
+        error. What waits in the kernel until this machine's fault is over is served then.
+        """
         room = self.factory.room()
         if room <= 0:
-            self.held = True
-            self.stopReading()  # type: ignore[attr-defined]
+            self.hold()
             return
-        self.numberAccepts = min(self.numberAccepts, room)
-        super().doRead()  # type: ignore[misc]
+        for _ in range(min(ACCEPTED_AT_ONCE, room)):
+            try:
+                accepted, address = self.socket.accept()
+            except BlockingIOError:
+                return
+            except OSError as failed:
+                self.factory.accept_failed(failed.errno)
+                if failed.errno not in ACCEPT_NEXT:
+                    self.hold()
+                    self.reactor.callLater(ACCEPT_AGAIN, self.resume)
+                    return
+            else:
+                self.let_in(accepted, address)
+
+    def let_in(self, accepted: Any, address: Any) -> None:
+        """One connection; a fault in its beginning is not the others'."""
+        number, self.sessionno = self.sessionno, self.sessionno + 1
+        try:
+            protocol = self.factory.buildProtocol(self._buildAddr(address))  # type: ignore[attr-defined]
+            transport = self.transport(accepted, protocol, address, self, number, self.reactor)
+            protocol.makeConnection(transport)
+        except Exception:
+            LOG.failure("a connection could not be taken in")
+            accepted.close()
+
+    def hold(self) -> None:
+        """Leaves connections in the kernel."""
+        self.held = True
+        self.stopReading()  # type: ignore[attr-defined]
 
     def resume(self) -> None:
         self.held = False
--- a/brambleplank/net/clock.py
+++ b/brambleplank/net/clock.py
@@ -12,7 +12,7 @@
 
 
 class Clock:
-    """Unix time, since servers' starts are told in it, but never set back."""
+    """Spans run on the monotonic clock alone; its zero is set once, so that logs read as Unix time."""
 
     def __init__(self) -> None:
         self.anchor = time.time() - time.monotonic()
@@ -20,6 +20,18 @@
     def now(self) -> float:
         return self.anchor + time.monotonic()
 
+    @staticmethod
+    def wall() -> float:
+        """Unix time as this machine has it now, to understand or write what others write in it.
+
+        It may be stepped at any time, so no rule rests on its difference to `now`.
+        """
+        return time.time()
+
+    def adopt(self, anchor: float) -> None:
+        """Goes on by the clock of another process of this machine, so that times of both can be compared."""
+        self.anchor = anchor
+
     def later(self, delay: float, call: Callable[..., object], *what: Any) -> DelayedCall:
         call_made: DelayedCall = reactor.callLater(max(0.0, delay), call, *what)
         return call_made
--- /dev/null
+++ b/brambleplank/net/local_faults.py
@@ -0,0 +1,44 @@
+"""Faults of this machine: system calls that fail for want of something here; they say nothing of servers."""
+
+from __future__ import annotations
+
+import errno
+from collections import Counter
+from collections.abc import Callable
+
+# Of a connect: raised before anything left this machine, or for want of something that only it has.
+CONNECT_ERRORS = frozenset(
+    (
+        errno.EADDRNOTAVAIL,
+        errno.EADDRINUSE,
+        errno.EAGAIN,
+        errno.EMFILE,
+        errno.ENFILE,
+        errno.ENOBUFS,
+        errno.ENOMEM,
+        errno.ENETDOWN,
+        errno.EACCES,
+        errno.EPERM,
+        errno.EINTR,
+    )
+)
+# The same if the call itself fails; told of a connection that was on its way, they come from the network.
+CONNECT_ERRORS_AT_ONCE = CONNECT_ERRORS | {errno.ENETUNREACH}
+# Of an accept: of the one connection that was to be accepted.
+ACCEPT_NEXT = frozenset((errno.ECONNABORTED, errno.EPERM, errno.EPROTO, errno.EINTR))
+
+
+class LocalFaults:
+    """Counts them, and says the first, the second, the fourth and so on of each kind."""
+
+    def __init__(self, say: Callable[[str], None]) -> None:
+        self.say = say
+        self.counts: Counter[tuple[str, str]] = Counter()
+
+    def note(self, call: str, number: int | None) -> None:
+        """A system call of this name has failed with this errno."""
+        name = errno.errorcode.get(number or 0, str(number))
+        self.counts[call, name] += 1
+        count = self.counts[call, name]
+        if count & (count - 1) == 0:
+            self.say(f"machine: {call} failed with {name}, {count} so far; no server is judged by it")
--- a/brambleplank/net/proxy.py
+++ b/brambleplank/net/proxy.py
@@ -11,6 +11,7 @@
 from brambleplank.net.clock import Clock
 from brambleplank.net.door import Door
 from brambleplank.net.emptying import Emptying
+from brambleplank.net.local_faults import LocalFaults
 from brambleplank.net.log import Log
 from brambleplank.net.message_times import SWEEP_INTERVAL, MessageTimes
 from brambleplank.net.peers import Peers
@@ -20,6 +21,7 @@
 from brambleplank.rotation import Rotation
 from brambleplank.seams import Client, Connect, Probe, Shares, Source
 from brambleplank.server_tags import ServerTags
+from brambleplank.start_times import StartTimes
 
 REDIAL_AFTER = 0.1  # seconds, of a connection from before the start
 PROBES_FROM = 1 / 4  # share of the descriptors that is left to others
@@ -46,6 +48,7 @@
     ) -> None:
         self.clock, self.log_lines, self.terms = clock, log, terms
         self.started = clock.now()
+        self.local_faults = LocalFaults(log.say)
         self.door = Door(clock, descriptors)
         self.balancer = Balancer(self, terms, seed)
         self.clients: dict[Client, None] = {}
@@ -62,6 +65,7 @@
         self.going_on: Client | None = None  # whose next connect is looked for
         self.tags: ServerTags | None = None  # how other proxies name the servers; made when first needed
         self.rotation = Rotation()
+        self.start_times = StartTimes()
         self.serving = self.stopping = self.draining = False
         self.succeeded = False  # another process of this proxy takes the clients in, and speaks for it
         self.hand_on: Callable[[Client], None] = lambda client: None  # to that process, if it may go along
@@ -263,12 +267,17 @@
 
     def list_told(self, entries: list[Entry], addresses: dict[str, Address], whole: bool) -> None:
         now = self.clock.now()
+        entries = self.start_times.told(now, self.clock.wall(), entries, self.terms.ramp_time)
         for server_id, where in addresses.items():
             reach_of(self.balancer.record(now, server_id)).address = where
         self.tell(self.rotation.told(entries, whole), whole)
         # Also where operators have all of them out: flows are answered at once, which is to serve.
         self.serving = self.serving or any(entry[3] is Condition.READY for entry in entries)
 
+    def list_current(self) -> None:
+        """The list is complete as of now, as its source shows by a sign of life."""
+        self.start_times.complete(self.clock.now())
+
     def tell(self, entries: list[Entry], whole: bool) -> None:
         self.balancer.list_told(self.clock.now(), entries, whole)
         self.tags = None
--- a/brambleplank/platform/estate.py
+++ b/brambleplank/platform/estate.py
@@ -1,8 +1,9 @@
 """What a process leaves to the next one of the same proxy: its form, its checks, and taking it up. No I/O.
 
 All that the four rules go by is in it, with the times it was learnt: which servers are out of rotation, which
-drain since when, what cold ones have had, ids in use; beside that what is dear to learn anew. Times are Unix
-time in seconds with fractions, and both processes read one clock.
+drain since when, what cold ones have had, ids in use; beside that what is dear to learn anew. Times are
+those of `Clock.now`: the next process goes on by the clock of the one before, whose zero comes along, as each
+sets its own by a wall clock that may have been stepped in between.
 """
 
 from __future__ import annotations
@@ -52,6 +53,8 @@
     draining: bool = False
     serving: bool = False
     started: float = 0.0
+    clock: float | None = None  # the zero of its clock; None: it is of an older build
+    starts: dict[str, tuple[float, float]] = field(default_factory=dict)  # as in `StartTimes`
     of_all: dict[str, float] = field(default_factory=dict)
     served: tuple[float, float] = (0.0, 0.0)  # ends that were well, fading, and when
     limit: float = 1.0  # of attempts out at once
@@ -69,7 +72,12 @@
     balancer, rotation, now = proxy.balancer, proxy.rotation, proxy.clock.now()
     servers = balancer.servers
     addresses = {s.id: where for s in servers.values() if (where := reach_of(s).address)}
-    entries = [e for e in rotation.listed.values() if e[3] is not Condition.GONE and e[0] in addresses]
+    starts = proxy.start_times.starts
+    entries = [
+        (*entry[:5], starts.get(entry[0], (0.0, 0.0))[0])  # as lists tell it
+        for entry in rotation.listed.values()
+        if entry[3] is not Condition.GONE and entry[0] in addresses
+    ]
     until = now + MOVING * proxy.terms.leave_within
     homes = {spot >> SPOT_CUT: (server.id, until) for spot, server in balancer.groups.displaced.items()}
     told = {spot: (server.id, at) for spot, (server, at) in balancer.groups.reported.items() if at > now}
@@ -82,6 +90,8 @@
         "draining": proxy.draining,
         "serving": proxy.serving,
         "started": proxy.started,
+        "clock": proxy.clock.anchor,
+        "starts": starts,
         "all": {name: getattr(balancer, name) for name in OF_ALL},
         "served": [balancer.served.count, balancer.served.at],
         "limit": balancer.limiter.limit,
@@ -132,6 +142,8 @@
         limit=number(value("limit"), "estate.limit"),
         homes=[home(item, f"estate.homes[{i}]") for i, item in enumerate(homes)],
         ids=texts(value("ids"), "estate.ids"),
+        clock=number(value("clock"), "estate.clock") if "clock" in told else None,
+        starts=each(value("starts", {}), "estate.starts", two),
     )
     for name, server in each(value("servers"), "estate.servers", table).items():
         at = f"estate.servers.{name:.40}"
@@ -189,7 +201,10 @@
 
 def take_up(proxy: Proxy, discovery: Discovery, estate: Estate) -> None:
     """This process goes on where the one before stands; it has been told no list yet."""
+    if estate.clock is not None:
+        proxy.clock.adopt(estate.clock)
     balancer, now = proxy.balancer, proxy.clock.now()
+    proxy.start_times.starts = dict(estate.starts)
     proxy.rotation.out, proxy.rotation.back = dict(estate.out), dict(estate.back)
     proxy.rotation.told([unlisted(server_id) for server_id in estate.once], False)
     discovery.begin(estate.listed, estate.discovery)
--- a/brambleplank/sources/platform/discovery.py
+++ b/brambleplank/sources/platform/discovery.py
@@ -141,6 +141,7 @@
             return
         if not line.strip() and not self.lines:
             self.whole()
+            self.discovery.nothing_new()
             return
         self.length += len(line)
         self.lines.append(line)
@@ -308,6 +309,12 @@
             entries, addresses, whole = self.taken_behind()
         self.newest = version
         self.proxy.list_told(entries, addresses, whole)
+        self.proxy.list_current()
+
+    def nothing_new(self) -> None:
+        """The watch is alive, and has told all that there is."""
+        if self.version is not None and self.behind is None:
+            self.proxy.list_current()
 
     def catching_up(self) -> bool:
         return self.proxy.clock.now() < self.moved_at + CATCHING_UP
--- /dev/null
+++ b/brambleplank/start_times.py
@@ -0,0 +1,85 @@
+"""When servers started, as spans on this process's own clock. Free of I/O.
+
+Lists tell starts in Unix time, by clocks of other machines; this machine's wall clock may be wrong as well,
+and stepped by seconds or by an hour. Taken as they are, a server that has just started may look an hour old,
+and slow start would not bind. So each start is bounded by what can be checked, and the latest bound holds:
+
+- the age by this machine's wall clock;
+- the age that the newest start of all lists proves: time was at least that late when it was told;
+- no start told now lies before the moment up to which the list was complete without it.
+
+A start is worked out once, when it is first told; later steps of any clock do not move it.
+"""
+
+from __future__ import annotations
+
+from math import inf
+
+from brambleplank.host import Condition, Entry
+
+MAX_CLOCK_ERROR = 2 * 3600.0  # seconds; a start that lies further back is old by whatever clock
+MAX_KEPT = 8192  # servers whose starts are remembered
+
+
+class StartTimes:
+    """The starts that lists have told, by server."""
+
+    def __init__(self) -> None:
+        self.starts: dict[str, tuple[float, float]] = {}  # as told, and on this clock; told longest ago first
+        self.ahead = -inf  # of the tellers' clock before this one, at least
+        self.complete_at = -inf  # up to when the list was complete
+
+    def complete(self, now: float) -> None:
+        """Whatever has started by now and can be known has been told."""
+        self.complete_at = now
+
+    def told(self, now: float, wall: float, entries: list[Entry], ramp_time: float) -> list[Entry]:
+        """The entries of a list with their starts on this process's clock, on which it is `now`."""
+        newest = max((entry[5] for entry in entries), default=0.0)
+        if newest > 0:
+            self.ahead = max(self.ahead, newest - now)
+        trusted = self.complete_at == -inf and self.mostly_unproven(now, wall, entries, ramp_time)
+        own = [(*entry[:5], self.start(now, wall, entry, trusted)) for entry in entries]
+        while len(self.starts) > MAX_KEPT:
+            del self.starts[next(iter(self.starts))]
+        return own
+
+    def start(self, now: float, wall: float, entry: Entry, trusted: bool) -> float:
+        """One server's start; `trusted`: by the wall clock alone, as nothing else is known."""
+        server_id, told = entry[0], entry[5]
+        before = self.starts.pop(server_id, None)
+        if told <= 0:
+            own = before[1] if before else 0.0  # long ago
+        elif before and before[0] == told:
+            own = before[1]
+        elif trusted:
+            own = self.by_wall(now, wall, told)
+        else:
+            own = self.proven(now, wall, told)
+        if told > 0 or before:
+            self.starts[server_id] = (told if told > 0 or not before else before[0]), own
+        return own
+
+    @staticmethod
+    def by_wall(now: float, wall: float, told: float) -> float:
+        return max(0.0, min(now, now - (wall - told)))
+
+    def proven(self, now: float, wall: float, told: float) -> float:
+        by_wall = self.by_wall(now, wall, told)
+        if self.complete_at == -inf and wall - told > MAX_CLOCK_ERROR:
+            return by_wall
+        return min(now, max(by_wall, told - self.ahead, self.complete_at))
+
+    def mostly_unproven(self, now: float, wall: float, entries: list[Entry], ramp_time: float) -> bool:
+        """Whether most servers would be in slow start only because a first list proves nothing.
+
+        A fleet that has started as a whole some minutes ago would be held back by each process that starts.
+        """
+        ready = [entry for entry in entries if entry[3] is Condition.READY]
+        warm = now - ramp_time
+        unproven = [
+            entry
+            for entry in ready
+            if entry[5] > 0 and self.by_wall(now, wall, entry[5]) <= warm < self.proven(now, wall, entry[5])
+        ]
+        return 2 * len(unproven) > len(ready)
--- a/tests/test_rotation.py
+++ b/tests/test_rotation.py
@@ -127,6 +127,24 @@
         estate.read(value)
 
 
+def test_a_step_of_the_wall_clock_between_two_starts_moves_no_time_of_what_is_left() -> None:
+    told = left()
+    proxy, discovery = process()
+    proxy.clock.anchor -= 3600.0  # the next process has read a wall clock that was set back by an hour
+    estate.take_up(proxy, discovery, estate.read(told))
+    assert proxy.clock.anchor == told["clock"]
+    assert proxy.balancer.servers["s1"].unready_since == 77.0
+    assert proxy.start_times.starts == {name: tuple(start) for name, start in told["starts"].items()}
+
+
+def test_what_an_older_build_leaves_has_no_clock_and_is_taken_up() -> None:
+    told = {key: value for key, value in left().items() if key not in ("clock", "starts")}
+    proxy, discovery = process()
+    before = proxy.clock.anchor
+    estate.take_up(proxy, discovery, estate.read(told))
+    assert proxy.clock.anchor == before and proxy.serving
+
+
 STARTS = st.sampled_from([0.0, 1.5, 1796158806.319])
 
 
