--- a/tests/test_machine_faults.py
+++ b/tests/test_machine_faults.py
@@ -2,16 +2,21 @@
 
 from __future__ import annotations
 
+import errno
 import json
+import socket
 import threading
 import time
 from collections.abc import Callable
+from contextlib import suppress
 from pathlib import Path
+from types import SimpleNamespace
 from typing import Any
 
 import pytest
 
-from tests.conftest import SETTINGS, Discovery, Program, Server, told
+from brambleplank.net.fleet import Datagrams
+from tests.conftest import PATIENCE, SETTINGS, Discovery, Program, Server, spare_address, told
 from tests.faults import Faults
 
 Run = Callable[..., Program]
@@ -80,3 +85,74 @@
         assert answers(program, 25) == ["UP r1"] * 25, name
     faults.set(program.process)
     assert "fault" not in program.stop()
+
+
+def pairs() -> tuple[socket.socket, str]:
+    """Another proxy's side of the datagrams, and its address."""
+    other = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+    other.bind(("127.0.0.1", 0))
+    other.settimeout(PATIENCE)
+    return other, f"127.0.0.1:{other.getsockname()[1]}"
+
+
+@pytest.mark.parametrize("name", ["ENETUNREACH", "ENOBUFS", "EPERM"])
+def test_datagrams_that_cannot_be_sent_cost_only_themselves(run: Run, tmp_path: Path, name: str) -> None:
+    faults, server = Faults(tmp_path), Server()
+    other, address = pairs()
+    limits = {**SETTINGS["policy_limits"], "peers": True, "may_probe": True}
+    program = run(
+        fleet([server]),
+        patch=faults.patch,
+        settings={**SETTINGS, "balancers": 2, "policy_limits": limits},
+        peer_listen=":".join(map(str, spare_address())),
+        peers=["127.0.0.1:9", address],
+        peers_all=address,
+    )
+    assert answers(program, 1) == ["UP r1"] and other.recv(300)
+    faults.set(program.process, fail={"sendto": (1.0, name)})
+    assert name in program.line("machine: sendto failed")
+    assert answers(program, 3) == ["UP r1"] * 3
+    faults.set(program.process)
+    other.setblocking(False)
+    with suppress(BlockingIOError):
+        while other.recv(300):
+            pass
+    other.settimeout(PATIENCE)
+    assert other.recv(300)
+    assert "fault " not in program.stop()
+    other.close()
+
+
+def test_a_member_that_cannot_be_reached_keeps_no_other_from_being_told() -> None:
+    addresses = (("10.0.0.1", 1), ("10.0.0.2", 1), ("10.0.0.3", 1))
+    told_to: list[object] = []
+
+    def write(data: bytes, address: object) -> None:
+        if address == addresses[1]:
+            raise OSError(errno.EHOSTUNREACH, "no route")
+        told_to.append(address)
+
+    datagrams = Datagrams(addresses, 0)
+    datagrams.transport = SimpleNamespace(write=write)
+    datagrams.say(b"all", None)
+    assert told_to == [addresses[2]]
+
+
+@pytest.mark.parametrize(
+    "call, name",
+    [("connect", "EADDRNOTAVAIL"), ("connect", "ENETUNREACH"), ("connect", "ENOBUFS"), ("socket", "ENFILE")],
+)
+def test_no_server_is_judged_by_a_connect_that_failed_on_this_machine(
+    run: Run, tmp_path: Path, call: str, name: str
+) -> None:
+    faults = Faults(tmp_path)
+    program = run(fleet([Server() for _ in range(4)]), patch=faults.patch)
+    assert answers(program, 1) == ["UP r1"]
+    faults.set(program.process, fail={call: (0.5, name)})
+    assert answers(program, 60) == ["UP r1"] * 60
+    faults.set(program.process, fail={call: (1.0, name)})
+    client = program.opening(kind="order", d=1500)
+    assert name in program.line(f"machine: {call} failed")
+    faults.set(program.process)
+    assert client.hear() == "UP r1"
+    assert "set aside" not in program.stop()
