A connect or datagram that fails on this machine judges no server

Cause: Twisted raises OSError of sendto through Talk.send, so the rest of a batch and the other readers went untold; errors of connect and socket came back as unreachable servers, which ejected sound ones and used up the attempts; and Twisted calls connect a second time to learn that a connection is up, which may fail by itself.

--- a/brambleplank/fronts/line/connects.py
+++ b/brambleplank/fronts/line/connects.py
@@ -13,6 +13,7 @@
 
 from brambleplank.host import End
 from brambleplank.net.buffers import Dialer
+from brambleplank.net.local_faults import LocalConnectError
 from brambleplank.net.loop import reactor
 from brambleplank.net.message_times import SILENT_AFTER
 from brambleplank.net.proxy import Proxy
@@ -106,7 +107,11 @@
 
     def clientConnectionFailed(self, connector: object, reason: Failure) -> None:  # noqa: N802
         self.proxy.door.held(-1)
-        self.end(End.UNREACHABLE)
+        if isinstance(reason.value, LocalConnectError):
+            self.proxy.local_faults.note(reason.value.call, reason.value.number)
+            self.end(End.LOCAL)
+        else:
+            self.end(End.UNREACHABLE)
 
     def pass_on(self, lines: bytes) -> None:
         """A client's lines, whole and with their ends."""
--- a/brambleplank/host.py
+++ b/brambleplank/host.py
@@ -20,7 +20,10 @@
 
 
 class End(Enum):
-    """How a connect, or the connection it became, ended. Moot: never sent, or nobody waits for it now."""
+    """How a connect, or the connection it became, ended.
+
+    Moot: never sent, or nobody waits for it now. Local: it failed on this machine, before anything was sent.
+    """
 
     OK = "ok"
     ERROR = "error"
@@ -30,6 +33,7 @@
     RESET = "reset"
     CANCELLED = "cancelled"
     MOOT = "moot"
+    LOCAL = "local"
 
 
 class Effect(Enum):
--- a/brambleplank/net/buffers.py
+++ b/brambleplank/net/buffers.py
@@ -2,14 +2,20 @@
 
 from __future__ import annotations
 
-from socket import socket
+import os
+from socket import SO_ERROR, SOL_SOCKET, socket
 from typing import Any
 
 from twisted.internet import main, tcp
-from twisted.internet.error import TimeoutError
+from twisted.internet.error import ConnectBindError, TimeoutError, getConnectError
 from twisted.logger import Logger
 
-from brambleplank.net.local_faults import ACCEPT_NEXT
+from brambleplank.net.local_faults import (
+    ACCEPT_NEXT,
+    CONNECT_ERRORS,
+    CONNECT_ERRORS_AT_ONCE,
+    LocalConnectError,
+)
 from brambleplank.net.loop import reactor
 
 LOG = Logger()
@@ -49,14 +55,16 @@
     def doRead(self) -> Any:  # noqa: N802
         buffer = POOL.take()
         try:
-            count = self.socket.recv_into(buffer)
+            try:
+                count = self.socket.recv_into(buffer)
+            except BlockingIOError:
+                return None
+            except OSError:
+                return main.CONNECTION_LOST
             if not count:
                 return main.CONNECTION_DONE
+            # Outside the inner `try`: an error of what the protocol does then is not this connection's end.
             self.protocol.dataReceived(memoryview(buffer)[:count])
-        except BlockingIOError:
-            return None
-        except OSError:
-            return main.CONNECTION_LOST
         finally:
             POOL.give(buffer)
         return None
@@ -126,13 +134,35 @@
 class Outgoing(PooledConnection, tcp.Client):
     """A connection to a server."""
 
+    under_way = False  # the call to connect was made, and its outcome is awaited
+
+    def doConnect(self) -> None:  # noqa: N802
+        """Calls connect once; how that went is read from the socket when it is ready, as connect(2) has it.
+
+        Twisted calls connect again then; if that call failed on this machine, the server would look at fault.
+        """
+        if not self.under_way:
+            super().doConnect()
+            self.under_way = True
+        elif not self.connected and hasattr(self, "connector"):
+            if number := self.socket.getsockopt(SOL_SOCKET, SO_ERROR):
+                self.failIfNotConnected(getConnectError((number, os.strerror(number))))
+                return
+            del self.doWrite, self.doRead
+            self.stopReading()
+            self.stopWriting()
+            self._connectDone()
+
     def failIfNotConnected(self, err: Any) -> None:  # noqa: N802
-        """Its time to come up is over.
+        """It has failed, or its time to come up is over; a failure of this machine gets a type of its own.
 
         Danger: after a stall of this process timers come first, and the connection may be up and only unseen;
         a sound server would be called unreachable.
         """
         late = super().failIfNotConnected
+        number = getattr(err, "osError", None)
+        if number in (CONNECT_ERRORS if self.under_way else CONNECT_ERRORS_AT_ONCE):
+            err = LocalConnectError("socket" if isinstance(err, ConnectBindError) else "connect", number)
         if isinstance(err, TimeoutError):
             reactor.callLater(0, late, err)
         else:
--- a/brambleplank/net/emptying.py
+++ b/brambleplank/net/emptying.py
@@ -41,14 +41,14 @@
         in the kernel too, and those that have not read their answer; nobody waits longer than for these.
         """
         now = self.clock.now()
+        again = self.clock.after_reads(CHECK_INTERVAL, self.check)  # first: an exception would end the stop
         if now >= self.balancer.stop_at:
             for client in list(self.door.waiting):
                 client.show_out()
         if self.is_empty(now):
+            again.cancel()
             self.log.say("stop: empty")
             self.emptied()
-        else:
-            self.clock.after_reads(CHECK_INTERVAL, self.check)
 
     def is_empty(self, now: float) -> bool:
         door = self.door
--- a/brambleplank/net/fleet.py
+++ b/brambleplank/net/fleet.py
@@ -195,11 +195,15 @@
         self.addresses, self.own = addresses, own
         self.numbers = {address: number for number, address in enumerate(addresses)}
         self.heard: Callable[[bytes, int], None] = lambda data, who: None
+        self.unsent: Callable[[int | None], None] = lambda number: None  # this machine could not send
 
     def say(self, data: bytes, to: int | None) -> None:
         for number in range(len(self.addresses)) if to is None else [to]:
             if number != self.own and self.transport is not None:
-                self.transport.write(data, self.addresses[number])
+                try:
+                    self.transport.write(data, self.addresses[number])
+                except OSError as failed:
+                    self.unsent(failed.errno)
 
     def datagramReceived(self, datagram: bytes, addr: Any) -> None:  # noqa: N802
         # Danger: whatever reaches the port could lend, or follow, in the name of a member.
--- a/brambleplank/net/local_faults.py
+++ b/brambleplank/net/local_faults.py
@@ -3,9 +3,14 @@
 from __future__ import annotations
 
 import errno
+import os
 from collections import Counter
 from collections.abc import Callable
 
+from twisted.internet.error import ConnectError
+
+from brambleplank.errors import BrambleplankError
+
 # Of a connect: raised before anything left this machine, or for want of something that only it has.
 CONNECT_ERRORS = frozenset(
     (
@@ -28,6 +33,16 @@
 ACCEPT_NEXT = frozenset((errno.ECONNABORTED, errno.EPERM, errno.EPROTO, errno.EINTR))
 
 
+class LocalConnectError(BrambleplankError, ConnectError):
+    """A connect failed on this machine, in the named system call; nothing of it has reached a server."""
+
+    DO = "look at this machine's descriptors, ports, routes and firewall; servers are not at fault"
+
+    def __init__(self, call: str, number: int = 0) -> None:
+        super().__init__(f"{call}: {os.strerror(number)}")
+        self.call, self.number = call, number
+
+
 class LocalFaults:
     """Counts them, and says the first, the second, the fourth and so on of each kind."""
 
--- a/brambleplank/net/peers.py
+++ b/brambleplank/net/peers.py
@@ -30,7 +30,10 @@
         turn_told: Callable[[int, Server, int], None],
         all_others: tuple[str, int],
         known: dict[tuple[str, int], int],
+        unsent: Callable[[int | None], None] = lambda number: None,
     ) -> None:
+        """`unsent` is called with the errno of a datagram that this machine could not send."""
+        self.failed = unsent
         super().__init__(self.write, LONGEST, soon, tags, time_told, held_told, home_told, turn_told)
         self.further: dict[int, Callable[[bytes, int], None]] = {}  # who reads other forms, by first byte
         self.reach(all_others, known)
@@ -42,7 +45,11 @@
 
     def write(self, message: bytes, to: int | None) -> None:
         if self.known and (to is None or to in self.known):
-            self.transport.write(message, self.all_others if to is None else self.known[to])
+            try:
+                self.transport.write(message, self.all_others if to is None else self.known[to])
+            except OSError as failed:
+                # As if lost on its way, which every reader has to bear; the other messages still go out.
+                self.failed(failed.errno)
 
     def datagramReceived(self, datagram: bytes, addr: Any) -> None:  # noqa: N802
         # Danger: whatever reaches the port could say that every server is strained, or full.
--- a/brambleplank/net/proxy.py
+++ b/brambleplank/net/proxy.py
@@ -225,7 +225,7 @@
         if connect.up:
             client.part(connect.code(end), reset)
         elif client.at:
-            if end is End.UNREACHABLE and now < self.started + TAKE_UP:
+            if end in (End.UNREACHABLE, End.LOCAL) and now < self.started + TAKE_UP:
                 # Danger: one lost packet at the start, where all dial at once, would lose it for good.
                 self.clock.later(REDIAL_AFTER, self.stood_still, client)
             else:
--- a/brambleplank/platform/run.py
+++ b/brambleplank/platform/run.py
@@ -96,6 +96,7 @@
                 proxy.turn_told,
                 told.peers_all,
                 told.peers,
+                lambda number: proxy.local_faults.note("sendto", number),
             )
             return True
         return False
--- a/brambleplank/records.py
+++ b/brambleplank/records.py
@@ -98,11 +98,17 @@
         self.handle, self.service_type, self.spot, self.grouped = handle, kind, spot, grouped
         self.give_up_at, self.midflow, self.returned = give_up_at, midflow, returned
         self.connects: list[Connect] = []
+        self.local_faults = 0  # of the connects: that failed on this machine, and never left it
         self.target: Server  # where the ring places it
         self.answered = self.asked = False  # nothing more is owed to the client; it has asked for a turn
         self.turn: Server | None = None  # where the keeper has it go, though the server is cold
         self.may_have_run: Connect | None = None  # the first connect not proved never to have run
 
+    @property
+    def attempts(self) -> int:
+        """How many connects have left this machine, or may have."""
+        return len(self.connects) - self.local_faults
+
     @property
     def out(self) -> Connect | None:
         return self.connects[-1] if self.connects and not self.connects[-1].over else None
--- a/brambleplank/sidecar/run.py
+++ b/brambleplank/sidecar/run.py
@@ -104,6 +104,7 @@
             True,
         )
         datagrams.heard = sharing.heard
+        datagrams.unsent = lambda number: proxy.local_faults.note("sendto", number)
 
     def listen(self) -> None:
         """Raises InUseError, or Twisted's CannotListenError."""
--- a/brambleplank/sources/platform/discovery.py
+++ b/brambleplank/sources/platform/discovery.py
@@ -281,10 +281,10 @@
         So the pause between two calls, which spares a list's one service, is not waited out here; of failures
         in a row the first is said.
         """
+        self.proxy.clock.later(SOON_AGAIN, self.follow)  # first: an exception below would end the following
         if not self.failing and self.proxy.clock.now() >= self.moved_at + CATCHING_UP:
             self.failing = True
             self.proxy.list_failed(why)
-        self.proxy.clock.later(SOON_AGAIN, self.follow)
 
     def broke(self, why: str) -> None:
         if self.watch is not None:
--- a/tests/test_machine_faults.py
+++ b/tests/test_machine_faults.py
@@ -4,6 +4,7 @@
 
 import errno
 import json
+import re
 import socket
 import threading
 import time
@@ -156,3 +157,19 @@
     faults.set(program.process)
     assert client.hear() == "UP r1"
     assert "set aside" not in program.stop()
+
+
+def test_a_fault_that_lasts_is_answered_in_time_and_tried_a_bounded_number_of_times(
+    run: Run, tmp_path: Path
+) -> None:
+    faults, server = Faults(tmp_path), Server()
+    program = run(fleet([server]), patch=faults.patch)
+    assert answers(program, 1) == ["UP r1"]
+    faults.set(program.process, fail={"connect": (1.0, "EADDRNOTAVAIL")})
+    begun = time.monotonic()
+    client = program.opening(kind="order", d=900)
+    assert client.hear().startswith("BUSY")
+    assert time.monotonic() - begun < 0.95
+    ended = program.line("end rejected")
+    assert int(re.findall(r"connects=(\d+)", ended)[0]) <= 20
+    assert "set aside" not in program.stop()
