--- a/tests/test_machine_faults.py
+++ b/tests/test_machine_faults.py
@@ -17,8 +17,10 @@
 import pytest
 
 from brambleplank.net.fleet import Datagrams
-from tests.conftest import PATIENCE, SETTINGS, Discovery, Program, Server, spare_address, told
+from tests.conftest import PATIENCE, SETTINGS, Discovery, Program, Server, spare_address, start, told
 from tests.faults import Faults
+from tests.test_operating import call as operate
+from tests.test_operating import operated
 
 Run = Callable[..., Program]
 HOUR = 3600.0
@@ -173,3 +175,20 @@
     ended = program.line("end rejected")
     assert int(re.findall(r"connects=(\d+)", ended)[0]) <= 20
     assert "set aside" not in program.stop()
+
+
+def test_an_operators_word_that_cannot_be_kept_is_said_and_written_later(run: Run, tmp_path: Path) -> None:
+    one, other = Server("UP one"), Server("UP other")
+    program = operated(run, one, other)
+    assert operate(program, "/-/ready", "GET") == 200
+    words = next(tmp_path.glob("*.sock")).with_suffix(".words")
+    in_the_way = Path(f"{words}.{program.process.pid}.new")
+    in_the_way.mkdir()
+    assert operate(program, "/-/servers/s0/disable") == 503  # done here, and lost if this process is killed
+    in_the_way.rmdir()
+    program.line("operator: written")
+    assert operate(program, "/-/servers/s0/disable") == 200
+    program.process.kill()
+    program.process.wait()
+    program.process, program.lines = start(program.path), []
+    assert {program.opening(f"{key:x}").hear() for key in range(16)} == {"UP other"}
