An operator's word is synced and written until it is kept; dates wait out a step

Cause: RotationFile.write logged a failure once, the call was answered 200, nothing wrote it again or synced it; two processes wrote one FILE.new in place; its times were of another process's clock. Retirements compared dates with time.time, so an hour's step on a machine that most members share began them early, and no stage goes back. Change: write, sync, rename, sync the folder; a failure is answered 503 with what holds, and is made again each 0.5 s; a new file's name has the process's number; times ahead of this clock count as now. Clock.date follows a step forward once it has held for 15 minutes, a step back at once. Ruled out by reading: the fleet's incarnation after a step back (messages.StaleIncarnation handles it).

--- a/brambleplank/net/clock.py
+++ b/brambleplank/net/clock.py
@@ -10,12 +10,17 @@
 
 from brambleplank.net.loop import reactor
 
+STEP = 2.0  # seconds by which the wall clock gets ahead without having been stepped
+HELD_FOR = 900.0  # seconds for which a step forward must hold until dates follow it
+
 
 class Clock:
     """Spans run on the monotonic clock alone; its zero is set once, so that logs read as Unix time."""
 
     def __init__(self) -> None:
         self.anchor = time.time() - time.monotonic()
+        self.date_offset = self.anchor  # of dates to the monotonic clock
+        self.stepped: tuple[float, float] | None = None  # an offset that is waited out, and since when
 
     def now(self) -> float:
         return self.anchor + time.monotonic()
@@ -28,6 +33,21 @@
         """
         return time.time()
 
+    def date(self) -> float:
+        """Unix time for dates that something begins at: a step forward counts once it has held.
+
+        A step back counts at once, as later than its date nothing begins that cannot be undone.
+        """
+        monotonic = time.monotonic()
+        offset = self.wall() - monotonic
+        if offset <= self.date_offset + STEP:
+            self.date_offset, self.stepped = offset, None
+        elif self.stepped is None or abs(offset - self.stepped[0]) > STEP:
+            self.stepped = offset, monotonic
+        elif monotonic >= self.stepped[1] + HELD_FOR:
+            self.date_offset, self.stepped = offset, None
+        return self.date_offset + monotonic
+
     def adopt(self, anchor: float) -> None:
         """Goes on by the clock of another process of this machine, so that times of both can be compared."""
         self.anchor = anchor
--- a/brambleplank/net/fleet.py
+++ b/brambleplank/net/fleet.py
@@ -5,7 +5,6 @@
 
 from __future__ import annotations
 
-import time
 from collections.abc import Callable
 from pathlib import Path
 from typing import Any
@@ -58,7 +57,7 @@
             told.number,
             told.members,
             told.budgets(),
-            int(time.time() * 1000),
+            int(clock.wall() * 1000),
             clock.now(),
             seed,
             say,
@@ -71,7 +70,7 @@
         if told.routes:
             text = Path(told.routes).read_bytes()
             self.routing = Routing(self.fleet, self.known, self.work, text, log.say)
-            self.retiring = Retiring(self.fleet, self.routing, time.time, lambda: len(listed()), log.say)
+            self.retiring = Retiring(self.fleet, self.routing, clock.date, lambda: len(listed()), log.say)
         self.admission = Admission(self.fleet, told.table.budget, self.routing, self.retiring, notices)
         self.foreign = 0  # datagrams of which nothing was believed
         self.passing_at = 0.0
@@ -124,7 +123,7 @@
             {name: CARE[kind.effect] for name, kind in terms.service_types.items()},
             {table.name: table.of for table in self.told.table.budget},
             self.notices,
-            time.time() if first_sight else None,
+            self.clock.date() if first_sight else None,
             steps,
         )
 
--- a/brambleplank/net/proxy.py
+++ b/brambleplank/net/proxy.py
@@ -71,7 +71,8 @@
         self.hand_on: Callable[[Client], None] = lambda client: None  # to that process, if it may go along
         self.sent_beside: dict[str, int] = {}  # connects made here meanwhile, by server
         self.beside: Callable[[Server], int] = lambda server: 0  # what the process before holds there
-        self.heard_word: Callable[[str, str], None] = lambda what, server_id: None  # an operator's
+        # An operator's call was carried out; returns whether that outlives this process.
+        self.heard_word: Callable[[str, str], bool] = lambda what, server_id: True
         self.emptied: Callable[[], None] = lambda: None  # called once a planned stop has emptied it
         self.emptying = Emptying(clock, log, self.balancer, self.door, self.clients, lambda: self.emptied())
         clock.later(SWEEP_INTERVAL, self.message_times.sweep)
@@ -303,8 +304,7 @@
         if first:
             self.balancer.empty(now, self.balancer.record(now, server_id))
         self.log_lines.say(f"operator: {server_id} out" + (" (it was)" if not first else ""))
-        self.heard_word("out", server_id)
-        return True, f"{server_id} is out"
+        return self.kept("out", server_id, f"{server_id} is out")
 
     def retune(self, terms: Terms) -> None:
         """New settings, whole. What was derived from the old is derived anew where it is read."""
@@ -318,8 +318,13 @@
         was_out = server_id in self.rotation.out
         self.tell([self.rotation.call_back(self.clock.now(), server_id)], False)
         self.log_lines.say(f"operator: {server_id} back" + ("" if was_out else " (it was not out)"))
-        self.heard_word("back", server_id)
-        return True, f"{server_id} is in use"
+        return self.kept("back", server_id, f"{server_id} is in use")
+
+    def kept(self, what: str, server_id: str, done: str) -> tuple[bool, str]:
+        """The answer to a call that was carried out, and that has to outlive this process."""
+        if self.heard_word(what, server_id):
+            return True, done
+        return False, f"{done} here, and not written yet: a restart would forget it; call again"
 
     def drain(self) -> tuple[bool, str]:
         """Sends all clients away; those who still come are served and sent away as well."""
--- a/brambleplank/platform/handover.py
+++ b/brambleplank/platform/handover.py
@@ -69,11 +69,11 @@
     def go_on(self, taken: Taken | None) -> bool:
         """Goes on where the process before stands; False if there is nothing to go on from."""
         if taken is None:
-            self.file.read(self.proxy.rotation)
+            self.file.read(self.proxy.rotation, self.proxy.clock.now())
             return False
         if taken.estate is None:
             self.log(f"upgrade: only sockets taken over: {taken.refused}")
-            self.file.read(self.proxy.rotation)
+            self.file.read(self.proxy.rotation, self.proxy.clock.now())
             return False
         estate.take_up(self.proxy, self.discovery, taken.estate)
         self.log("upgrade: taken over")
@@ -178,9 +178,9 @@
         """Connections at a server that the process before still holds."""
         return self.holdings.of_predecessors(server, self.channels)
 
-    def word(self, call: str, server_id: str) -> None:
-        """An operator's call was carried out here."""
-        self.operators.relay(call, server_id, self.channels)
+    def word(self, call: str, server_id: str) -> bool:
+        """An operator's call was carried out here; whether it outlives this process."""
+        return self.operators.relay(call, server_id, self.channels)
 
     # End.
 
--- a/brambleplank/platform/operator_relay.py
+++ b/brambleplank/platform/operator_relay.py
@@ -12,6 +12,7 @@
 from brambleplank.rotation import unlisted
 
 OUT, BACK, DRAIN, RESUME = "out", "back", "drain", "resume"
+WRITE_AGAIN = 0.5  # seconds until the file is written again, after a write that failed
 
 
 class OperatorRelay:
@@ -19,15 +20,31 @@
 
     def __init__(self, proxy: Proxy, file: RotationFile) -> None:
         self.proxy, self.file = proxy, file
+        self.retrying = False  # whether the file is written again soon
         self.source: Channel | None = None  # whose call is being carried out
 
-    def relay(self, call: str, server_id: str, channels: Iterable[Channel]) -> None:
-        """A call was carried out here: it is written to the file and sent to the other processes."""
-        if call in (OUT, BACK):
-            self.file.write(self.proxy.rotation)
+    def relay(self, call: str, server_id: str, channels: Iterable[Channel]) -> bool:
+        """A call was carried out here: it is written to the file and sent to the other processes.
+
+        Returns whether it outlives this process.
+        """
+        kept = self.write() if call in (OUT, BACK) else True
         for channel in channels:
             if channel is not self.source:
                 channel.send({"say": upgrade_messages.WORD, "what": call, "server": server_id})
+        return kept
+
+    def write(self) -> bool:
+        """Writes the file now, and again until that succeeds."""
+        kept = self.file.write(self.proxy.rotation)
+        if not kept and not self.retrying:
+            self.retrying = True
+            self.proxy.clock.later(WRITE_AGAIN, self.write_again)
+        return kept
+
+    def write_again(self) -> None:
+        self.retrying = False
+        self.write()
 
     def receive(self, channel: Channel, message: dict[str, Any]) -> None:
         """Carries out a call that came to the other process. Raises UnfitError."""
--- a/brambleplank/platform/rotation_file.py
+++ b/brambleplank/platform/rotation_file.py
@@ -5,6 +5,7 @@
 import json
 import os
 from collections.abc import Callable
+from contextlib import suppress
 
 from brambleplank.checks import UnfitError, need
 from brambleplank.platform import estate
@@ -16,9 +17,13 @@
 
     def __init__(self, path: str, log: Callable[[str], None]) -> None:
         self.path, self.log = path, log
+        self.failing = False  # whether the last write failed
 
-    def read(self, rotation: Rotation) -> None:
-        """Takes up what the file holds. A file torn by the end of a process must not prevent a start."""
+    def read(self, rotation: Rotation, now: float) -> None:
+        """Takes up what the file holds. A file torn by the end of a process must not prevent a start.
+
+        Its times are of another process's clock; one that lies ahead of this one's is taken as now.
+        """
         try:
             with open(self.path, encoding="utf-8") as file:
                 content = json.load(file)
@@ -30,15 +35,43 @@
         except (OSError, ValueError, RecursionError, UnfitError) as error:
             self.log(f"upgrade: {self.path}: passed over: {error}")
             return
-        rotation.out, rotation.back = out, back
+        rotation.out = {server_id: min(now, since) for server_id, since in out.items()}
+        rotation.back = {
+            server_id: (min(now, since), min(now, until)) for server_id, (since, until) in back.items()
+        }
         if out:
             self.log(f"operator: still out: {', '.join(out)}")
 
-    def write(self, rotation: Rotation) -> None:
-        """Replaces the file as a whole, or not at all."""
+    def write(self, rotation: Rotation) -> bool:
+        """Replaces the file as a whole, or not at all; whether it is on the disk.
+
+        Synced before it is renamed: a kill of the machine would otherwise leave an empty file in its place.
+        """
+        new = f"{self.path}.{os.getpid()}.new"  # of this process alone, as two may write at once
         try:
-            with open(f"{self.path}.new", "w", encoding="utf-8") as file:
+            with open(new, "w", encoding="utf-8") as file:
                 json.dump({"out": rotation.out, "back": rotation.back}, file)
-            os.replace(f"{self.path}.new", self.path)
+                file.flush()
+                os.fsync(file.fileno())
+            os.replace(new, self.path)
+            sync_folder(os.path.dirname(self.path))
         except OSError as error:
-            self.log(f"operator: {self.path}: not written: {error.strerror}")
+            if not self.failing:
+                self.log(f"operator: {self.path}: not written: {error.strerror}; tried again until it is")
+            self.failing = True
+            with suppress(OSError):
+                os.unlink(new)
+            return False
+        if self.failing:
+            self.log(f"operator: written: {self.path}")
+        self.failing = False
+        return True
+
+
+def sync_folder(path: str) -> None:
+    """Makes a rename in this folder last. Raises OSError."""
+    folder = os.open(path or ".", os.O_RDONLY | os.O_DIRECTORY | os.O_CLOEXEC)
+    try:
+        os.fsync(folder)
+    finally:
+        os.close(folder)
