--- /dev/null
+++ b/tests/test_signals.py
@@ -0,0 +1,69 @@
+"""SIGHUP and SIGTERM that cross the start or the end of a process."""
+
+from __future__ import annotations
+
+import json
+import signal
+from collections.abc import Callable
+from pathlib import Path
+
+import pytest
+
+from tests.conftest import Discovery, Program, Server, start, told
+
+Run = Callable[..., Program]
+SELF = "import os, signal, sys\nsend = lambda name: os.kill(os.getpid(), getattr(signal, name))"
+AMID_IMPORTS = """
+class Finder:
+    def find_spec(self, name, path=None, target=None):
+        if name == {module!r}:
+            sys.meta_path.remove(self)
+            send("SIGHUP")
+sys.meta_path.insert(0, Finder())
+"""
+AFTER_THE_READ = """
+from brambleplank.platform import start
+first = start.read
+def read(*told):
+    start.read, found = first, first(*told)
+    os.replace({new!r}, os.environ["ROUTER_CONFIG"])
+    send("SIGHUP")
+    return found
+start.read = read
+"""
+RUN_AS_PROGRAM = "import runpy\nrunpy.run_module('brambleplank', run_name='__main__')"
+
+
+def begin(program: Program, code: str) -> None:
+    """The same program started anew, as the platform does, with code ahead of it."""
+    program.process.kill()
+    program.process.wait()
+    program.process, program.lines = start(program.path, f"{SELF}\n{code}\n{RUN_AS_PROGRAM}"), []
+
+
+@pytest.mark.parametrize("module", ["brambleplank.platform.run", "brambleplank.decide", "twisted.web.client"])
+def test_a_new_configuration_amid_the_imports_ends_no_process(run: Run, module: str) -> None:
+    program = run(told(41, True, s0=Server().dial))
+    begin(program, AMID_IMPORTS.format(module=module))
+    assert program.opening().hear() == "UP r1"
+    assert "stop: empty" in program.stop() and program.process.returncode == 0
+
+
+def test_a_new_configuration_between_the_reading_and_the_start_is_taken_up(run: Run, tmp_path: Path) -> None:
+    program = run(told(41, True, s0=Server().dial))
+    elsewhere, new = Discovery(), tmp_path / "new.json"
+    new.write_text(json.dumps({**program.config, "discovery": elsewhere.address}))
+    begin(program, AFTER_THE_READ.format(new=str(new)))
+    assert elsewhere.watch()[0].startswith("GET /discovery/hosts")
+
+
+@pytest.mark.parametrize("name", ["SIGHUP", "SIGTERM"])
+def test_a_signal_while_the_interpreter_ends_leaves_the_exit_code(run: Run, name: str) -> None:
+    for _ in range(5):
+        program = run(told(41, True, s0=Server().dial))
+        assert program.opening().hear() == "UP r1"
+        program.process.send_signal(signal.SIGTERM)
+        program.line("stop: empty")
+        while program.process.poll() is None:
+            program.process.send_signal(getattr(signal, name))
+        assert program.process.returncode == 0
