Signals that cross a start or an end, and passing faults at a start, end no process

Cause: SIGHUP had its default action amid the imports and again as Python ends (SIGTERM too), was ignored between the reading of the configuration and the reactor, and at a sidecar while its file was being read; a socket that cannot be made for a moment (ENOBUFS, EMFILE, ENFILE) at a start was an exit 2, or a traceback in takeover.request. Change: net/signals.py notes a SIGHUP until it can be acted on and blocks both signals at the end; a sidecar reads its file once more if called meanwhile; a start waits for passing faults as it does for an address in use, 5 s at most; the path for the next process is opened again if that failed.

--- a/brambleplank/__main__.py
+++ b/brambleplank/__main__.py
@@ -3,7 +3,8 @@
 import signal
 import sys
 
-# Danger: a planned stop may come amid the imports.
+# Both may come amid the imports. A new configuration is read after them all the same.
+signal.signal(signal.SIGHUP, signal.SIG_IGN)
 signal.signal(signal.SIGTERM, lambda *_: sys.exit(0))
 
 from brambleplank.platform.run import main  # noqa: E402
--- a/brambleplank/command/run_.py
+++ b/brambleplank/command/run_.py
@@ -17,7 +17,9 @@
     With a command after it (run FILE -- COMMAND ...), the application is started once the sidecar takes
     flows, told to leave once the sidecar is empty, and its exit code is the sidecar's.
     """
-    # A planned stop may come amid the imports; until there is anything to empty, this is all that it does.
+    # Both may come amid the imports. The file is read after them; until there is anything to empty, a planned
+    # stop does no more than this.
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
     signal.signal(signal.SIGTERM, lambda *_: sys.exit(0))
 
     from brambleplank.sidecar.run import main
--- a/brambleplank/net/local_faults.py
+++ b/brambleplank/net/local_faults.py
@@ -4,13 +4,17 @@
 
 import errno
 import os
+import time
 from collections import Counter
 from collections.abc import Callable
+from typing import TypeVar
 
 from twisted.internet.error import ConnectError
 
 from brambleplank.errors import BrambleplankError
 
+Made = TypeVar("Made")
+TRY_AGAIN = 0.02  # seconds between two tries at a start; nothing else runs in this process yet
 # Of a connect: raised before anything left this machine, or for want of something that only it has.
 CONNECT_ERRORS = frozenset(
     (
@@ -29,6 +33,8 @@
 )
 # The same if the call itself fails; told of a connection that was on its way, they come from the network.
 CONNECT_ERRORS_AT_ONCE = CONNECT_ERRORS | {errno.ENETUNREACH}
+# Of a socket that is made or bound: over soon, as a rule.
+PASSING = frozenset((errno.EADDRINUSE, errno.EAGAIN, errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM))
 # Of an accept: of the one connection that was to be accepted.
 ACCEPT_NEXT = frozenset((errno.ECONNABORTED, errno.EPERM, errno.EPROTO, errno.EINTR))
 
@@ -43,6 +49,21 @@
         self.call, self.number = call, number
 
 
+def once_possible(make: Callable[[], Made], within: float) -> Made:
+    """What a call gives once no passing fault of this machine is in its way; it blocks, for a start alone.
+
+    Raises OSError.
+    """
+    until = time.monotonic() + within
+    while True:
+        try:
+            return make()
+        except OSError as failed:
+            if failed.errno not in PASSING or time.monotonic() >= until:
+                raise
+        time.sleep(TRY_AGAIN)
+
+
 class LocalFaults:
     """Counts them, and says the first, the second, the fourth and so on of each kind."""
 
--- /dev/null
+++ b/brambleplank/net/signals.py
@@ -0,0 +1,34 @@
+"""Signals that cross the start or the end of a process, where its reactor does not run yet, or no longer."""
+
+from __future__ import annotations
+
+import signal
+from collections.abc import Callable
+from types import FrameType
+
+from brambleplank.net.loop import reactor
+
+
+class EarlyReload:
+    """A SIGHUP from before the configuration is read until it can be read again.
+
+    Ignored, it would be lost: this process would go on with a file that was replaced in between.
+    """
+
+    def __init__(self) -> None:
+        self.wanted = False
+        signal.signal(signal.SIGHUP, self.note)
+
+    def note(self, number: int, frame: FrameType | None) -> None:
+        self.wanted = True
+
+    def hand_over(self, read_again: Callable[[], None]) -> None:
+        """From here on the reactor reads it again, and once at its start if that was wanted meanwhile."""
+        signal.signal(signal.SIGHUP, lambda *_: reactor.callFromThread(read_again))
+        if self.wanted:
+            reactor.callFromThread(read_again)
+
+
+def block_at_the_end() -> None:
+    """Python gives signals their default action back as it ends: one more would set the exit code."""
+    signal.pthread_sigmask(signal.SIG_BLOCK, (signal.SIGHUP, signal.SIGTERM))
--- a/brambleplank/platform/handover.py
+++ b/brambleplank/platform/handover.py
@@ -36,6 +36,7 @@
 from brambleplank.sources.platform.discovery import Discovery
 
 REPORT_INTERVAL = 0.1  # seconds
+LISTEN_AGAIN = 1.0  # seconds until the next try, where the path cannot be opened
 RESERVED = 4  # descriptors: the socket here, the channels, one that is just coming
 BACKLOG = 4  # of the socket that the next process asks at
 
@@ -92,7 +93,9 @@
         try:
             waiting = self.listening_socket()
         except OSError as error:
-            self.log(f"upgrade: the next process cannot ask here: {error.strerror}")
+            self.log(f"upgrade: the next process cannot ask here yet: {error.strerror}")
+            self.waiting = None
+            self.proxy.clock.later(LISTEN_AGAIN, self.listen)
             return
         adopt: Any = unix.Port._fromListeningDescriptor
         port = self.waiting = adopt(reactor, waiting.fileno(), Channels(self))
--- a/brambleplank/platform/run.py
+++ b/brambleplank/platform/run.py
@@ -20,10 +20,12 @@
 from brambleplank.net.clock import Clock
 from brambleplank.net.descriptors import allow
 from brambleplank.net.faults import watch
+from brambleplank.net.local_faults import PASSING
 from brambleplank.net.log import Log
 from brambleplank.net.loop import reactor
 from brambleplank.net.peers import Peers
 from brambleplank.net.proxy import Proxy
+from brambleplank.net.signals import EarlyReload, block_at_the_end
 from brambleplank.platform import start
 from brambleplank.sources.platform.discovery import Discovery
 
@@ -112,9 +114,10 @@
         host, number = self.told.peer_listen
         # An upgrade's second process hears beside this one.
         return self.once_free(
+            f"{host}:{number}",
             lambda: reactor.listenMulticast(
                 number, self.proxy.peers, interface=host, listenMultiple=bool(self.told.mgmt)
-            )
+            ),
         )
 
     def let_in(self, adopted: socket.socket | None) -> Any:
@@ -129,20 +132,27 @@
             # An upgrade's second process listens beside this one.
             port._reusePort = bool(self.told.mgmt)
         self.proxy.door.listeners.append(port)
-        self.once_free(port.startListening)
+        self.once_free(f"{self.told.listen[0]}:{self.told.listen[1]}", port.startListening)
         return port
 
-    def once_free(self, listen: Callable[[], Any]) -> Any:
-        """Danger: a process of this proxy that is still emptying holds the address until it ends."""
+    def once_free(self, what: str, listen: Callable[[], Any]) -> Any:
+        """Listens, and waits for what passes.
+
+        A process of this proxy that is still emptying holds the address until it ends, and this machine may
+        have no socket to give for a moment.
+        """
         until, said = time.monotonic() + FREE_WITHIN, False
         while True:
             try:
                 return listen()
-            except error.CannotListenError as cannot:
-                if cannot.socketError.errno != errno.EADDRINUSE or time.monotonic() >= until:
+            except (error.CannotListenError, OSError) as cannot:
+                failed = cannot.socketError if isinstance(cannot, error.CannotListenError) else cannot
+                if failed.errno not in PASSING or time.monotonic() >= until:
                     raise
                 if not said:
-                    self.proxy.log(f"start: {cannot.interface}:{cannot.port} is in use, waiting for it")
+                    held = failed.errno == errno.EADDRINUSE
+                    why = "is in use" if held else f"cannot be opened: {failed.strerror}"
+                    self.proxy.log(f"start: {what} {why}, waiting for it")
                 said = True
             time.sleep(FREE_LOOK)
 
@@ -183,7 +193,10 @@
         if side is None or not side.go_on(taken):
             self.discovery.begin(self.told.known)
         listener = self.let_in(adopt("listen"))
-        operators = open_for_operators(self.proxy, mgmt, adopt("mgmt"))
+        operators_socket = adopt("mgmt")
+        operators = self.once_free(
+            f"{mgmt[0]}:{mgmt[1]}", lambda: open_for_operators(self.proxy, mgmt, operators_socket)
+        )
         if side is not None:
             side.sockets["listen"] = self.told.listen, listener.fileno
             side.sockets["mgmt"] = mgmt, operators.fileno
@@ -247,7 +260,7 @@
 
 def main() -> int:
     # Danger: a signal before all is set up would end it, over clients in the kernel's queue from there on.
-    signal.signal(signal.SIGHUP, signal.SIG_IGN)
+    early_reload = EarlyReload()
     signal.signal(signal.SIGTERM, lambda *_: sys.exit(0))
     try:
         told = start.read()
@@ -266,6 +279,7 @@
         print(f"brambleplank: {key}: {cannot.interface}:{cannot.port}: {cannot.socketError}", file=sys.stderr)
         return 2
     watch(program.proxy)
-    signal.signal(signal.SIGHUP, lambda *_: reactor.callFromThread(program.read_again))
+    early_reload.hand_over(program.read_again)
     reactor.run(installSignalHandlers=False)
+    block_at_the_end()
     return 0
--- a/brambleplank/platform/takeover.py
+++ b/brambleplank/platform/takeover.py
@@ -11,6 +11,7 @@
 
 from brambleplank.checks import UnfitError
 from brambleplank.host import Address
+from brambleplank.net.local_faults import once_possible
 from brambleplank.platform import estate, upgrade_messages
 from brambleplank.platform.socket_path import ShortSocketPath
 
@@ -44,7 +45,9 @@
 
     It blocks, as nothing else runs in this process yet.
     """
-    channel = socket.socket(socket.AF_UNIX, socket.SOCK_STREAM | socket.SOCK_CLOEXEC)
+    channel = once_possible(
+        lambda: socket.socket(socket.AF_UNIX, socket.SOCK_STREAM | socket.SOCK_CLOEXEC), TIMEOUT
+    )
     descriptors: list[int] = []
     try:
         send_request(channel, path, wanted)
--- a/brambleplank/sidecar/run.py
+++ b/brambleplank/sidecar/run.py
@@ -28,6 +28,7 @@
 from brambleplank.net.log import Log, plainly
 from brambleplank.net.loop import reactor
 from brambleplank.net.proxy import Proxy
+from brambleplank.net.signals import EarlyReload, block_at_the_end
 from brambleplank.net.unix import Claim, InUseError, listener
 from brambleplank.sidecar import against
 from brambleplank.sidecar.reader import Told, read
@@ -72,7 +73,7 @@
         self.claim: Claim | None = None
         self.port: Any = None
         self.application: Application | None = None
-        self.is_ready = self.leaving = self.rereading = False
+        self.is_ready = self.leaving = self.rereading = self.read_once_more = False
         self.code = 0
         self.source = self.proxy.source = source_of(self.proxy, self.told)
         self.datagrams: Any = None
@@ -123,7 +124,6 @@
         for sign, call in (
             (signal.SIGTERM, self.stop),
             (signal.SIGINT, self.stop),
-            (signal.SIGHUP, self.read_again),
         ):
             signal.signal(sign, lambda *_, call=call: reactor.callFromThread(call))
         self.source.begin()
@@ -223,17 +223,24 @@
         a file of thousands of servers takes long enough to be felt.
         """
         if self.rereading:
+            self.read_once_more = True  # what is being read now may have been replaced meanwhile
             return
         self.rereading = True
         found: Any = threads.deferToThreadPool(reactor, reactor.getThreadPool(), read, self.told.path)
         found.addCallbacks(self.take_up, self.unread)
 
+    def reread(self) -> None:
+        """The file is read, and is read again if that was called for meanwhile."""
+        self.rereading, again, self.read_once_more = False, self.read_once_more, False
+        if again:
+            self.read_again()
+
     def unread(self, why: Failure) -> None:
-        self.rereading = False
+        self.reread()
         self.proxy.log(f"reload: kept as it was: {type(why.value).__name__}")
 
     def take_up(self, told: Told) -> None:
-        self.rereading = False
+        self.reread()
         if told.faults or told.file is None:
             more = f" (and {len(told.faults) - 1} more)" if len(told.faults) > 1 else ""
             self.proxy.log(f"reload: kept as it was: {told.lines()[0]}{more}")
@@ -334,7 +341,7 @@
 
 def main(path: str, command: list[str]) -> int:
     """Runs until told to leave, or until the application has left; its exit code. 2: nothing was started."""
-    signal.signal(signal.SIGHUP, signal.SIG_IGN)  # Danger: one that comes before all is set up would end it.
+    early_reload = EarlyReload()
     signal.signal(signal.SIGTERM, lambda *_: sys.exit(0))
     told = read(path)
     if told.faults:
@@ -365,5 +372,7 @@
         return 2
     watch(sidecar.proxy)
     reactor.callWhenRunning(sidecar.begin)
+    reactor.callWhenRunning(early_reload.hand_over, sidecar.read_again)
     reactor.run()  # its own signal handlers are wanted for the application's end; `begin` takes the others
+    block_at_the_end()
     return sidecar.code
--- a/tests/test_machine_faults.py
+++ b/tests/test_machine_faults.py
@@ -90,6 +90,26 @@
     assert "fault" not in program.stop()
 
 
+@pytest.mark.parametrize("name", ["ENOBUFS", "ENFILE", "EMFILE"])
+def test_sockets_that_cannot_be_made_for_a_moment_refuse_no_start(
+    run: Run, tmp_path: Path, name: str
+) -> None:
+    faults = Faults(tmp_path, fail={"socket": (0.7, name)})
+    limits = {**SETTINGS["policy_limits"], "peers": True}
+    operators = ":".join(map(str, spare_address()))
+    program = run(
+        fleet([Server()]),
+        patch=faults.patch,
+        settings={**SETTINGS, "balancers": 2, "policy_limits": limits},
+        peer_listen=":".join(map(str, spare_address())),
+        peers=["127.0.0.1:9", "127.0.0.1:10"],
+        peers_all="127.0.0.1:10",
+        mgmt=operators,
+    )
+    assert program.opening().hear() == "UP r1"
+    assert operate(program, "/-/ready", "GET") == 200
+
+
 def pairs() -> tuple[socket.socket, str]:
     """Another proxy's side of the datagrams, and its address."""
     other = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
--- a/tests/test_signals.py
+++ b/tests/test_signals.py
@@ -4,12 +4,14 @@
 
 import json
 import signal
+import threading
 from collections.abc import Callable
 from pathlib import Path
 
 import pytest
 
-from tests.conftest import Discovery, Program, Server, start, told
+from tests.conftest import Discovery, Program, Server, Sidecar, start, told
+from tests.processes import until
 
 Run = Callable[..., Program]
 SELF = "import os, signal, sys\nsend = lambda name: os.kill(os.getpid(), getattr(signal, name))"
@@ -59,6 +61,7 @@
 
 @pytest.mark.parametrize("name", ["SIGHUP", "SIGTERM"])
 def test_a_signal_while_the_interpreter_ends_leaves_the_exit_code(run: Run, name: str) -> None:
+    pause = threading.Event()  # as fast as it can be, Python's own handlers would nest too deep
     for _ in range(5):
         program = run(told(41, True, s0=Server().dial))
         assert program.opening().hear() == "UP r1"
@@ -66,4 +69,39 @@
         program.line("stop: empty")
         while program.process.poll() is None:
             program.process.send_signal(getattr(signal, name))
+            pause.wait(0.0005)
         assert program.process.returncode == 0
+
+
+HELD_READ = """
+import time
+from brambleplank.sidecar import run
+first = run.read
+def read(path):
+    found = first(path)
+    if os.path.exists({hold!r}):
+        os.replace({hold!r}, {hold!r} + ".seen")
+    while os.path.exists({hold!r} + ".seen"):
+        time.sleep(0.01)
+    return found
+run.read = read
+"""
+
+
+def test_a_sidecars_file_that_changes_while_it_is_read_is_read_again(
+    run_beside: Callable[..., Sidecar], tmp_path: Path
+) -> None:
+    hold = tmp_path / "hold"
+    program = run_beside(
+        told(1, True, s0=Server().dial), patch="import os\n" + HELD_READ.format(hold=str(hold))
+    )
+    assert program.opening().hear() == "UP r1"
+    hold.touch()
+    program.process.send_signal(signal.SIGHUP)
+    seen = tmp_path / "hold.seen"
+    until(seen.exists)
+    program.file.limits.descriptors = 300
+    program.change()
+    program.process.send_signal(signal.SIGHUP)
+    seen.unlink()
+    program.line("taken up: limits.descriptors")
