The soak calls a run void where its own judge was late

Change: a run with over 2 s of lag is called void; a process that starts while reads are made to fail is noted so.

--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -11,6 +11,8 @@
 from tests.soak.judge import Breach, Judge
 from tests.soak.world import World
 
+MOST_LAG = 2.0  # seconds in all by which the judge itself may be late
+
 
 def play(
     seed: int, folder: Path, proxies: int, servers: int, seconds: float, rate: float
@@ -25,9 +27,11 @@
     records = world.records
     up = sum(bool(r.answers) and r.answers[0][1].startswith("UP") for r in records.requests)
     lag = sum(late for _, late in records.lags)
+    busy = " (VOID: this machine was too busy to judge)" if lag > MOST_LAG else ""
     lines = [
         f"seed {seed}: {len(records.requests)} requests, {up} UP, {len(records.attempts)} attempts, "
         f"{len(records.lives)} processes, {len(records.troubles)} troubles, lag {lag:.1f} s: "
+        + busy
         + (f"BROKEN {dict(Counter(breach.rule for breach in breaches))}" if breaches else "no rule broken")
     ]
     shown: Counter[str] = Counter()
--- a/tests/soak/proxies.py
+++ b/tests/soak/proxies.py
@@ -59,6 +59,8 @@
         with open(life.log, "wb") as log:
             code = CODE.format(patch=self.faults.patch)
             self.process = subprocess.Popen([sys.executable, "-B", "-c", code], env=given, stderr=log)
+        if "recv" in self.plan.get("fail", {}):
+            life.broken.append((life.started, inf))
         self.lives.append(life)
         self.records.lives.append(life)
         self.taken_in, self.ignored_until = False, inf
