--- a/brambleplank/records.py
+++ b/brambleplank/records.py
@@ -7,7 +7,7 @@
 from math import exp, inf
 from typing import Any
 
-from brambleplank.host import Condition, ServiceType
+from brambleplank.host import Condition, End, ServiceType
 
 try:  # Danger: with a hundred proxies, what OpenSSL does ahead of each digest costs more than all flows.
     from _md5 import md5  # type: ignore[import-not-found]
@@ -80,6 +80,7 @@
     def __init__(self, flow: Flow, server: Server, sent: float) -> None:
         self.flow, self.server, self.sent = flow, server, sent
         self.established = self.over = False
+        self.end: End | None = None  # how it ended
 
 
 class Flow:
--- /dev/null
+++ b/brambleplank/rule_guard.py
@@ -0,0 +1,140 @@
+"""The one guard of the rules: it checks each step that cannot be taken back. Free of I/O.
+
+The decisions keep the rules by their own stages. This guard works them out anew from the records, at the
+moment of the step, and knows nothing of the stages. Two things come of it:
+
+- a violation: a step that the decisions asked for, or have taken, against a rule. It is a fault of this
+  program; it is counted and reported, and a step that has not been taken yet is refused;
+- a crossing: between the decision and the step something has changed (the server drains, the window closes).
+  The step is refused, and counted apart.
+"""
+
+from __future__ import annotations
+
+from collections import Counter
+from collections.abc import Callable
+from enum import Enum
+
+from brambleplank.host import Condition, Effect, End, Terms
+from brambleplank.records import Connect, Flow, Server
+
+MAX_HELD_UP = 0.15  # seconds for which this process may be held up between reading its clock and writing
+OVERDUE = 0.1  # seconds after its time from which a flow without an answer is a violation
+NEVER_RAN = frozenset((End.FULL, End.UNREACHABLE, End.MOOT, End.LOCAL))
+
+
+class Rule(Enum):
+    """What is guarded."""
+
+    SENDING = (
+        "sending"  # nothing new to a server that drains, nothing after the answer, one attempt at a time
+    )
+    REPEATING = "repeating"  # no effect twice
+    CLOSING = "closing"  # one final answer, in time, that promises nothing false
+    STARTING = "starting"  # no server in slow start is pushed over
+
+
+class RuleGuard:
+    """Counts violations and crossings by rule; `report` writes a line about a violation."""
+
+    def __init__(self, terms: Terms, report: Callable[[str], None]) -> None:
+        self.terms, self.report = terms, report
+        self.violations: Counter[Rule] = Counter()
+        self.crossings: Counter[Rule] = Counter()
+
+    def violated(self, rule: Rule, what: str) -> None:
+        self.violations[rule] += 1
+        count = self.violations[rule]
+        if count & (count - 1) == 0:  # the first, the second, the fourth, ...
+            self.report(f"violation of {rule.value}: {what}; {count} so far")
+
+    def summary(self) -> str:
+        """All counts, for a line at the end."""
+        broken = sum(self.violations.values())
+        crossed = ", ".join(f"{rule.value} {count}" for rule, count in sorted_counts(self.crossings))
+        return f"{broken} violations; crossings: {crossed or 'none'}"
+
+    # Sending and repeating.
+
+    def may_dial(self, now: float, name: str, flow: Flow) -> bool:
+        """Whether the decisions' newest attempt of a flow may begin; they have just asked for it."""
+        connect = flow.connects[-1]
+        why = self.against_sending(now, flow, connect)
+        if why:
+            self.violated(Rule.SENDING, f"{name} at {connect.server.id}: {why}")
+            return False
+        why = self.against_repeating(now, flow, connect)
+        if why:
+            self.violated(Rule.REPEATING, f"{name} at {connect.server.id}: {why}")
+        return not why
+
+    def may_write(self, now: float, flow: Flow, connect: Connect) -> bool:
+        """Whether its opening may be written now, as the connection is up: time has passed since the dial."""
+        for rule, why in (
+            (Rule.SENDING, self.against_sending(now + MAX_HELD_UP, flow, connect)),
+            (Rule.REPEATING, self.against_repeating(now + MAX_HELD_UP, flow, connect)),
+        ):
+            if why:
+                self.crossings[rule] += 1
+                return False
+        return True
+
+    def against_sending(self, now: float, flow: Flow, connect: Connect) -> str:
+        server = connect.server
+        if flow.answered:
+            return "it has its final answer"
+        if any(not other.over for other in flow.connects if other is not connect):
+            return "another attempt is out"
+        if server.condition is not Condition.READY and now >= server.unready_since + self.terms.drain_grace:
+            return f"the server is {server.condition.value} and its grace is over"
+        return ""
+
+    def against_repeating(self, now: float, flow: Flow, connect: Connect) -> str:
+        kind = flow.service_type
+        ran = [other for other in flow.connects if other is not connect and other.end not in NEVER_RAN]
+        if not ran or kind.effect is Effect.REPEATABLE:
+            return ""
+        first = ran[0]
+        if kind.effect is Effect.ONCE_ONLY:
+            return f"it may have run at {first.server.id}"
+        if now >= first.sent + kind.window:
+            return f"the window since {first.server.id} is over"
+        if not same_group(kind.group, first.server, connect.server):
+            return f"it may have run at {first.server.id}, of another {kind.group}"
+        return ""
+
+    # Closing.
+
+    def rejected(self, name: str, flow: Flow) -> None:
+        """The client is promised that trying again is harmless."""
+        kind = flow.service_type
+        if kind.effect is Effect.REPEATABLE or (kind.effect is Effect.REFERENCED and kind.group == "all"):
+            return
+        for connect in flow.connects:
+            if connect.end not in NEVER_RAN:
+                self.violated(Rule.CLOSING, f"{name} rejected, but may have run at {connect.server.id}")
+                return
+
+    def unanswered(self, name: str, how: str) -> None:
+        """A request was read, and its connection ends without a final answer, or has none at its time."""
+        self.violated(Rule.CLOSING, f"{name} {how}")
+
+    # Starting.
+
+    def sent_to(self, server: Server, sent: float, most: float) -> None:
+        """So many attempts of this process in one fall time, and the most that all may make together."""
+        if sent > most:
+            self.violated(
+                Rule.STARTING, f"{sent:.0f} at {server.id} in slow start, all together may {most:.1f}"
+            )
+
+
+def same_group(group: str, one: Server, other: Server) -> bool:
+    """Whether both servers drop each other's repeats."""
+    if group == "all":
+        return True
+    return one.zone == other.zone if group == "zone" else one.cell == other.cell
+
+
+def sorted_counts(counts: Counter[Rule]) -> list[tuple[Rule, int]]:
+    return sorted(counts.items(), key=lambda item: item[0].value)
--- a/tests/soak/proxies.py
+++ b/tests/soak/proxies.py
@@ -92,7 +92,8 @@
         elif self.life.broken:
             self.life.broken[-1] = self.life.broken[-1][0], min(self.life.broken[-1][1], time.monotonic())
         self.faults.write(plan)
-        self.send(signal.SIGUSR1)
+        if self.life.told_to_stop == inf:  # at its end Python gives SIGUSR1 its default action back
+            self.send(signal.SIGUSR1)
 
     def look(self) -> None:
         """Notes its end, and the descriptors that it holds."""
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -321,6 +321,7 @@
         some = self.rng.sample(self.proxies, max(1, len(self.proxies) // 3))
         call, names = self.rng.choice(SYSTEM_CALLS)
         share = 0.02 if call in ("recv", "send") else self.rng.choice((0.1, 0.5, 1.0))
+        share = min(share, 0.5) if call == "accept" else share  # nobody is served while none can be accepted
         plan = {"fail": {call: (share, self.rng.choice(names))}, "short": self.rng.choice((0.0, 0.5))}
         self.note(f"system calls {plan} at {' '.join(f'n{proxy.number}' for proxy in some)}")
         for proxy in some:
--- /dev/null
+++ b/tests/test_rule_guard.py
@@ -0,0 +1,133 @@
+"""The guard of the rules: what it refuses, what it counts, and where the program asks it."""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from brambleplank.host import Condition, Effect, End, ServiceType
+from brambleplank.records import Connect, Flow, Server
+from brambleplank.rule_guard import MAX_HELD_UP, Rule, RuleGuard
+from tests.conftest import SETTINGS, TERMS, Discovery, Program, told
+from tests.conftest import Server as StandIn
+from tests.faults import Faults
+from tests.processes import until
+
+Run = Callable[..., Program]
+NOW = 1000.0
+LATE_CONNECTIONS = """
+from brambleplank.net import buffers
+from brambleplank.net.loop import reactor
+done = buffers.Outgoing._connectDone
+buffers.Outgoing._connectDone = lambda self: reactor.callLater(0.6, done, self)
+"""
+
+
+def server(name: str, zone: str = "a", cell: int = 0) -> Server:
+    made = Server(name, NOW - 100.0)
+    made.zone, made.cell, made.condition = zone, cell, Condition.READY
+    return made
+
+
+def flow(effect: Effect, group: str, *tried: tuple[Server, End | None]) -> Flow:
+    kind = ServiceType(0.3, effect, group, 1.0, 0.1, 1.8, 3)
+    made = Flow(None, kind, 7, True, NOW + 1.8, False, False)
+    for number, (where, end) in enumerate(tried):
+        connect = Connect(made, where, NOW + number * 0.1)
+        connect.end, connect.over = end, end is not None
+        made.connects.append(connect)
+    return made
+
+
+@pytest.fixture
+def guard() -> RuleGuard:
+    return RuleGuard(TERMS, lambda line: None)
+
+
+ONE, OTHER, FAR = server("s1"), server("s2"), server("s3", "b", 1)
+
+
+@pytest.mark.parametrize(
+    "effect, group, tried, broken",
+    [
+        (Effect.REPEATABLE, "all", ((ONE, End.TIMEOUT), (OTHER, None)), None),
+        (Effect.REPEATABLE, "all", ((ONE, None), (OTHER, None)), Rule.SENDING),
+        (Effect.ONCE_ONLY, "all", ((ONE, End.FULL), (OTHER, None)), None),
+        (Effect.ONCE_ONLY, "all", ((ONE, End.LOCAL), (ONE, End.UNREACHABLE), (OTHER, None)), None),
+        (Effect.ONCE_ONLY, "all", ((ONE, End.RESET), (OTHER, None)), Rule.REPEATING),
+        (Effect.ONCE_ONLY, "all", ((ONE, End.TIMEOUT), (OTHER, None)), Rule.REPEATING),
+        (Effect.REFERENCED, "all", ((ONE, End.TIMEOUT), (FAR, None)), None),
+        (Effect.REFERENCED, "zone", ((ONE, End.ERROR), (OTHER, None)), None),
+        (Effect.REFERENCED, "zone", ((ONE, End.ERROR), (FAR, None)), Rule.REPEATING),
+        (Effect.REFERENCED, "cell", ((ONE, End.RESET), (FAR, None)), Rule.REPEATING),
+    ],
+)
+def test_an_attempt_that_would_break_a_rule_is_refused_and_counted(
+    guard: RuleGuard, effect: Effect, group: str, tried: Any, broken: Rule | None
+) -> None:
+    assert guard.may_dial(NOW + 0.3, "1a", flow(effect, group, *tried)) == (broken is None)
+    assert list(guard.violations) == ([broken] if broken else [])
+
+
+def test_a_window_that_closes_before_an_opening_is_written_is_a_crossing(guard: RuleGuard) -> None:
+    referenced = flow(Effect.REFERENCED, "all", (ONE, End.RESET), (OTHER, None))
+    assert guard.may_dial(NOW + 0.9, "1a", referenced)
+    assert guard.may_write(NOW + 0.8, referenced, referenced.connects[-1])
+    assert not guard.may_write(NOW + 1.0 - MAX_HELD_UP, referenced, referenced.connects[-1])
+    assert not guard.violations and guard.crossings == {Rule.REPEATING: 1}
+
+
+def test_a_drain_is_a_crossing_before_the_write_and_a_violation_at_the_dial(guard: RuleGuard) -> None:
+    drains = server("s4")
+    plain = flow(Effect.REPEATABLE, "all", (drains, None))
+    drains.condition, drains.unready_since = Condition.DRAINING, NOW
+    assert guard.may_write(NOW + 0.5, plain, plain.connects[-1])
+    assert not guard.may_write(NOW + TERMS.drain_grace - MAX_HELD_UP, plain, plain.connects[-1])
+    assert not guard.may_dial(NOW + TERMS.drain_grace, "1a", plain)
+    assert guard.crossings == guard.violations == {Rule.SENDING: 1}
+
+
+def test_a_reject_that_promises_too_much_is_counted(guard: RuleGuard) -> None:
+    guard.rejected("1a", flow(Effect.ONCE_ONLY, "all", (ONE, End.FULL)))
+    guard.rejected("1b", flow(Effect.REFERENCED, "all", (ONE, End.TIMEOUT)))
+    assert not guard.violations
+    guard.rejected("1c", flow(Effect.ONCE_ONLY, "all", (ONE, End.TIMEOUT)))
+    guard.rejected("1d", flow(Effect.REFERENCED, "zone", (ONE, End.ERROR)))
+    assert guard.violations == {Rule.CLOSING: 2}
+    assert guard.summary() == "2 violations; crossings: none"
+
+
+def test_a_server_that_drains_while_its_connection_comes_up_late_gets_no_opening(run: Run) -> None:
+    draining, other = StandIn("UP draining"), StandIn("UP other")
+    limits = {**SETTINGS["policy_limits"], "connect_timeout_us": 1_500_000}
+    rules = {**SETTINGS["rules"], "stop_sending_within_us": 300_000}
+    kind = {**SETTINGS["service_types"][0], "setup_target_us": 1_000_000, "deadline_us": 3_000_000}
+    settings = {**SETTINGS, "policy_limits": limits, "rules": rules, "service_types": [kind]}
+    program = run(told(41, True, s0=draining.dial), patch=LATE_CONNECTIONS, settings=settings)
+    _, watch = program.discovery.watch()
+    client = program.opening(d=2900)
+    until(lambda: draining.accepted)  # its side is up; the proxy sees that late
+    hosts = {"s0": (draining.dial, "draining"), "s1": other.dial}
+    Discovery.tell(watch, json.dumps(told(42, False, **hosts)))
+    assert client.hear() == "UP other"
+    assert draining.count == 0
+    assert "violation" not in program.stop()
+
+
+def test_a_connection_from_before_the_start_that_took_two_dials_ends_like_any_other(
+    run: Run, tmp_path: Path
+) -> None:
+    server = StandIn()
+    port = server.socket.getsockname()[1]
+    faults = Faults(tmp_path, fail={"connect": (1.0, "ECONNREFUSED")}, times=1, port=port)
+    program = run(told(41, True, s0=server.dial), patch=faults.patch)
+    client = program.opening(more=",at=s0")
+    assert client.hear() == "UP r1"
+    server.next()[1].end()
+    assert client.hear() == ""
+    said = program.stop()
+    assert "end broke" in said and "fault" not in said
