The guard is asked at each dial, write, reject and end; its counts are logged

Cause: between the dial of an attempt and the writing of its opening nothing was checked again but the client's leaving, so a server that began to drain meanwhile got it after its grace; the opening was written a pass of the loop after that check; Proxy.stands numbered the connect of a connection from before the start by its dial; an overlong line behind an opening reset the connection, though the opening had been read. Change: Line.dial and Line.connectionMade ask Proxy.may_dial and may_write, the opening is flushed at once; rejects, ends without an answer, answers that are overdue (answered with FAIL within 0.3 s) and attempts at servers in slow start are counted; a stop logs 'guard: N violations; crossings: ...'; an early overlong line is answered ERR.

--- a/brambleplank/fronts/line/clients.py
+++ b/brambleplank/fronts/line/clients.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from math import inf
 from socket import MSG_DONTWAIT, MSG_PEEK
 from typing import Any
 
@@ -38,6 +39,7 @@
         self.line = b""  # its OPEN
         self.id = ""  # as OPEN has it, once that was taken
         self.came = 0.0
+        self.due = inf  # when its answer is, once it has asked
         self.past = 0  # bytes read after its last line
         self.flow: Flow | None = None
         self.connects: list[Line] = []  # in the order made
@@ -105,6 +107,7 @@
         if "at" in fields:
             self.proxy.stood(self, fields["c"], key, group, fields["at"], customer, version)
         else:
+            self.due = self.came + int(fields["d"]) / 1000
             self.proxy.came(
                 self,
                 fields["c"],
@@ -205,9 +208,13 @@
     def lineLengthExceeded(self, line: bytes) -> None:  # noqa: N802
         if self.done:
             return
-        if self.line:
+        if self.standing:
             self.proxy.left(self, True)
             self.finish("garbled", reset=True)
+        elif self.line:
+            # Its request was read: a reset would leave it without an answer.
+            self.proxy.left(self, False)
+            self.finish("early", b"ERR")
         else:
             self.finish("garbled", b"ERR")
 
--- a/brambleplank/fronts/line/connects.py
+++ b/brambleplank/fronts/line/connects.py
@@ -73,6 +73,9 @@
             # Its end is read next and ends this connect, which nobody waits for: no server hears of it.
             self.timer = proxy.clock.later(wait or STAND_WITHIN, self.time_up)
             return
+        if not proxy.may_dial(self):
+            self.timer = proxy.clock.later(0, self.end, End.MOOT)
+            return
         if self.reach.address is None:
             self.timer = proxy.clock.later(0, self.end, End.UNREACHABLE)
             return
@@ -102,8 +105,12 @@
             self.proxy.door.held(1)
         elif self.over or self.client.gone():
             self.transport.abortConnection()
+        elif not self.proxy.may_write(self):
+            self.end(End.MOOT)
         else:
             self.sendLine(self.line)
+            # At once, as what was just checked may have changed by the loop's next pass.
+            self.transport.flush()
 
     def clientConnectionFailed(self, connector: object, reason: Failure) -> None:  # noqa: N802
         self.proxy.door.held(-1)
--- a/brambleplank/net/buffers.py
+++ b/brambleplank/net/buffers.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import os
+from contextlib import suppress
 from socket import SO_ERROR, SOL_SOCKET, socket
 from typing import Any
 
@@ -75,6 +76,12 @@
             self.written += count
         return count
 
+    def flush(self) -> None:
+        """Writes what can be written now; an error is met by the loop's next write."""
+        if self.connected and not self.disconnected:
+            with suppress(OSError):
+                self.doWrite()  # type: ignore[attr-defined]
+
     def leave(self, reset: bool) -> None:
         """Ends the connection in kind once all is flushed.
 
--- a/brambleplank/net/emptying.py
+++ b/brambleplank/net/emptying.py
@@ -8,6 +8,7 @@
 from brambleplank.net.clock import Clock
 from brambleplank.net.door import Door
 from brambleplank.net.log import Log
+from brambleplank.rule_guard import RuleGuard
 from brambleplank.seams import Client
 
 CHECK_INTERVAL = 0.1  # seconds
@@ -26,7 +27,9 @@
         door: Door,
         clients: Collection[Client],
         emptied: Callable[[], None],
+        guard: RuleGuard,
     ) -> None:
+        self.guard = guard
         self.clock, self.log, self.balancer, self.door = clock, log, balancer, door
         self.clients, self.emptied = clients, emptied
 
@@ -47,6 +50,7 @@
                 client.show_out()
         if self.is_empty(now):
             again.cancel()
+            self.log.say(f"guard: {self.guard.summary()}")
             self.log.say("stop: empty")
             self.emptied()
 
--- a/brambleplank/net/proxy.py
+++ b/brambleplank/net/proxy.py
@@ -19,6 +19,7 @@
 from brambleplank.net.reach import reach_of
 from brambleplank.records import Flow, Server
 from brambleplank.rotation import Rotation
+from brambleplank.rule_guard import OVERDUE, RuleGuard
 from brambleplank.seams import Client, Connect, Probe, Shares, Source
 from brambleplank.server_tags import ServerTags
 from brambleplank.start_times import StartTimes
@@ -26,6 +27,8 @@
 REDIAL_AFTER = 0.1  # seconds, of a connection from before the start
 PROBES_FROM = 1 / 4  # share of the descriptors that is left to others
 TAKE_UP = 40.0  # seconds after the start in which connections from before it are taken up
+# Reason codes of requests that had their answer before they stood, or whose client had left.
+ANSWERED = frozenset(("rejected", "aborted", "unplaced", "early", "fault", "overdue", "left", "handed"))
 FAILED = (End.ERROR, End.TIMEOUT, End.UNREACHABLE, End.RESET)  # what speaks against a server, over a fleet
 
 
@@ -64,8 +67,10 @@
         self.shares: Shares | None = None  # with the other processes of its fleet, where it does
         self.going_on: Client | None = None  # whose next connect is looked for
         self.tags: ServerTags | None = None  # how other proxies name the servers; made when first needed
+        self.overdue: set[Client] = set()  # without an answer at their time, at the last look
         self.rotation = Rotation()
         self.start_times = StartTimes()
+        self.guard = RuleGuard(terms, log.say)
         self.serving = self.stopping = self.draining = False
         self.succeeded = False  # another process of this proxy takes the clients in, and speaks for it
         self.hand_on: Callable[[Client], None] = lambda client: None  # to that process, if it may go along
@@ -74,8 +79,11 @@
         # An operator's call was carried out; returns whether that outlives this process.
         self.heard_word: Callable[[str, str], bool] = lambda what, server_id: True
         self.emptied: Callable[[], None] = lambda: None  # called once a planned stop has emptied it
-        self.emptying = Emptying(clock, log, self.balancer, self.door, self.clients, lambda: self.emptied())
+        self.emptying = Emptying(
+            clock, log, self.balancer, self.door, self.clients, lambda: self.emptied(), self.guard
+        )
         clock.later(SWEEP_INTERVAL, self.message_times.sweep)
+        clock.later(SWEEP_INTERVAL, self.sweep_overdue)
 
     def takes_flows(self) -> bool:
         told = self.serving and (self.shares is None or self.shares.ready())
@@ -194,6 +202,8 @@
         )
         if client.id:
             self.door.over(client.id)
+            if client.done not in ANSWERED and client.standing is None:
+                self.guard.unanswered(client.id, f"ended as {client.done}, with no answer")
         if self.shares:
             self.shares.ended(client, client.done == "rejected")
 
@@ -205,6 +215,7 @@
             self.clock.later(0, self.hand_on, client)
         if client.at:
             kind, key, group, server = client.at
+            connect.number = 0  # of the flow, which begins here; this may be the second dial
             client.flow = self.balancer.flow(now, client, kind, key, group, now, False, False, server)
             return
         if client.flow:
@@ -241,6 +252,25 @@
             )
             self.going_on = None
 
+    def sweep_overdue(self) -> None:
+        """Answers requests that the decisions have left without an answer; repeats itself.
+
+        What is due twice in a row is: after a stall of this process timers come first, and the first look is
+        made before answers that have arrived are read.
+        """
+        self.clock.later(SWEEP_INTERVAL, self.sweep_overdue)
+        now = self.clock.now()
+        before, self.overdue = self.overdue, set()
+        for client in list(self.clients):
+            if now < client.due + OVERDUE or client.done or client.standing is not None:
+                continue
+            if client not in before:
+                self.overdue.add(client)
+                continue
+            self.guard.unanswered(client.id, f"had no answer {now - client.due:.3f} s after its time")
+            self.left(client, False)
+            client.abort("overdue")
+
     # What other proxies say.
 
     def server_tags(self) -> ServerTags:
@@ -308,7 +338,7 @@
 
     def retune(self, terms: Terms) -> None:
         """New settings, whole. What was derived from the old is derived anew where it is read."""
-        self.terms = self.probes.terms = self.message_times.terms = terms
+        self.terms = self.probes.terms = self.message_times.terms = self.guard.terms = terms
         if not terms.measures:
             self.probes.stop()
         self.balancer.retune(terms)
@@ -354,6 +384,22 @@
             self.sent_beside[server.id] = self.sent_beside.get(server.id, 0) + 1
         client.dial(reach_of(server), max_wait)
 
+    def may_dial(self, connect: Connect) -> bool:
+        """Whether an attempt that the decisions have just asked for may begin."""
+        flow, now = connect.client.flow, self.clock.now()
+        if flow is None:  # it stands there already, since before this process
+            return True
+        if not self.guard.may_dial(now, connect.client.id, flow):
+            return False
+        server = flow.connects[-1].server
+        self.guard.dialled(now, server, self.balancer.cold.sustainable(now, server))
+        return True
+
+    def may_write(self, connect: Connect) -> bool:
+        """Whether the opening of an attempt may be written, now that its connection is up."""
+        flow = connect.client.flow
+        return flow is None or self.guard.may_write(self.clock.now(), flow, flow.connects[connect.number])
+
     def withdraw(self, flow: Flow, number: int) -> None:
         client: Client = flow.handle
         connect = client.connects[number]
@@ -368,6 +414,7 @@
 
     def reject(self, flow: Flow, pause: float) -> None:
         client: Client = flow.handle
+        self.guard.rejected(client.id, flow)
         client.reject(pause)
 
     def abort(self, flow: Flow) -> None:
--- a/brambleplank/rule_guard.py
+++ b/brambleplank/rule_guard.py
@@ -11,15 +11,18 @@
 
 from __future__ import annotations
 
-from collections import Counter
+from collections import Counter, deque
 from collections.abc import Callable
 from enum import Enum
+from math import sqrt
 
 from brambleplank.host import Condition, Effect, End, Terms
 from brambleplank.records import Connect, Flow, Server
 
 MAX_HELD_UP = 0.15  # seconds for which this process may be held up between reading its clock and writing
 OVERDUE = 0.1  # seconds after its time from which a flow without an answer is a violation
+FEW = 30  # attempts in a fall time, under which chance weighs more
+MAX_STARTING = 4096  # servers in slow start whose attempts are remembered
 NEVER_RAN = frozenset((End.FULL, End.UNREACHABLE, End.MOOT, End.LOCAL))
 
 
@@ -41,6 +44,7 @@
         self.terms, self.report = terms, report
         self.violations: Counter[Rule] = Counter()
         self.crossings: Counter[Rule] = Counter()
+        self.sent: dict[Server, deque[float]] = {}  # attempts of the last fall time, at servers in slow start
 
     def violated(self, rule: Rule, what: str) -> None:
         self.violations[rule] += 1
@@ -121,12 +125,24 @@
 
     # Starting.
 
-    def sent_to(self, server: Server, sent: float, most: float) -> None:
-        """So many attempts of this process in one fall time, and the most that all may make together."""
-        if sent > most:
-            self.violated(
-                Rule.STARTING, f"{sent:.0f} at {server.id} in slow start, all together may {most:.1f}"
-            )
+    def dialled(self, now: float, server: Server, sustainable: float) -> None:
+        """An attempt of this process begins; `sustainable` is what the server bears now in one fall time.
+
+        What this process sends alone must not exceed what all of them may send together.
+        """
+        if server.started <= max(0.0, now - self.terms.ramp_time):
+            self.sent.pop(server, None)
+            return
+        if server not in self.sent and len(self.sent) >= MAX_STARTING:
+            del self.sent[next(iter(self.sent))]
+        sent = self.sent.setdefault(server, deque())
+        sent.append(now)
+        while sent[0] <= now - self.terms.fall_time:
+            sent.popleft()
+        roots = 3 if sustainable < FEW else 2
+        most = sustainable + roots * sqrt(sustainable) + roots
+        if len(sent) > most:
+            self.violated(Rule.STARTING, f"{len(sent)} at {server.id} in slow start, all may send {most:.1f}")
 
 
 def same_group(group: str, one: Server, other: Server) -> bool:
--- a/brambleplank/seams.py
+++ b/brambleplank/seams.py
@@ -31,15 +31,12 @@
 
     up: bool
     over: bool
+    number: int  # its place among the flow's connects, from 0 in the order made
     asked: float  # when the oldest line without an answer was passed on; 0: none waits
 
     @property
     def client(self) -> Client: ...
 
-    @property
-    def number(self) -> int:
-        """Its place among the flow's connects, from 0 in the order made."""
-
     @property
     def reach(self) -> Reach: ...
 
@@ -62,6 +59,7 @@
 
     flow: Flow | None
     at: tuple[ServiceType, int, int | None, Server] | None  # key, group, and server where it stood before
+    due: float  # when its answer is; infinite once it needs none, or has not asked
 
     @property
     def id(self) -> str:
--- a/tests/soak/proxies.py
+++ b/tests/soak/proxies.py
@@ -87,6 +87,11 @@
     def fail(self, **plan: Any) -> None:
         """The machine's faults from now on; the process reads them at SIGUSR1."""
         self.plan = plan
+        shares = [share for call, (share, _) in plan.get("fail", {}).items() if call in ("socket", "connect")]
+        if 1.0 in shares:
+            self.life.deaf.append((time.monotonic(), inf))
+        elif self.life.deaf:
+            self.life.deaf[-1] = self.life.deaf[-1][0], min(self.life.deaf[-1][1], time.monotonic())
         if "recv" in plan.get("fail", {}):
             self.life.broken.append((time.monotonic(), inf))
         elif self.life.broken:
--- a/tests/soak/records.py
+++ b/tests/soak/records.py
@@ -57,6 +57,9 @@
     code: int | None = None
     stopped: list[tuple[float, float]] = field(default_factory=list)  # spans in which it was held up
     broken: list[tuple[float, float]] = field(default_factory=list)  # spans in which connections broke
+    deaf: list[tuple[float, float]] = field(
+        default_factory=list
+    )  # spans without any socket to call discovery
     descriptors: int = 0  # the most that were seen
     descriptor_limit: int = 0
     log: str = ""
