Attempts, refusals and changes of servers are logged with their reasons, and counted

Change: lines 'attempt ID number=N server=S result=R delay=D' (40 a second at most), 'server: S draining' or 'ready, started A s ago', 'why=' at the end of an 'end' line (host.Refusal: deadline, attempts, descriptors, limit, no-server, retry-budget, local-faults); net/metrics.py counts ends, refusals, attempts, changes, violations, crossings and faults of this machine, read at GET /-/metrics.

--- a/brambleplank/fronts/management/calls.py
+++ b/brambleplank/fronts/management/calls.py
@@ -61,6 +61,8 @@
         match path:
             case ["", "-", "ready"]:
                 wanted, call = b"GET", proxy.ready
+            case ["", "-", "metrics"]:
+                wanted, call = b"GET", lambda: (True, proxy.metrics_text())
             case ["", "-", "drain"]:
                 wanted, call = b"PUT", proxy.drain
             case ["", "-", "resume"]:
--- a/brambleplank/host.py
+++ b/brambleplank/host.py
@@ -36,6 +36,18 @@
     LOCAL = "local"
 
 
+class Refusal(Enum):
+    """Why a flow gets no further attempt, and so its final answer."""
+
+    DEADLINE = "deadline"  # its time is up, or too short for one more
+    ATTEMPTS = "attempts"  # it has had as many as it may
+    DESCRIPTORS = "descriptors"  # too few are left, or the fleet allows no further attempt
+    LIMIT = "limit"  # it waited for its turn under the limit of attempts until its time was up
+    NO_SERVER = "no-server"  # no server may take it
+    RETRY_BUDGET = "retry-budget"  # it failed, and too many do
+    LOCAL_FAULTS = "local-faults"  # this machine could not connect, too often
+
+
 class Effect(Enum):
     """What happens when a flow of a service type runs twice."""
 
--- a/brambleplank/net/log.py
+++ b/brambleplank/net/log.py
@@ -9,6 +9,7 @@
 
 LINES_A_SECOND = 200
 TURNED_AWAY = 20  # of these, what clients that were turned away may take
+ATTEMPTS = 40  # the same of attempts that did not stand
 
 
 def plainly(now: float, text: str, fields: dict[str, Any]) -> str:
@@ -23,18 +24,21 @@
     ) -> None:
         self.clock, self.form = clock, form
         self.second = 0
-        self.printed = self.dropped = self.turned_away = 0
+        self.printed = self.dropped = self.turned_away = self.attempts = 0
 
-    def say(self, text: str, turned_away: bool = False, **fields: Any) -> None:
+    def say(self, text: str, turned_away: bool = False, attempt: bool = False, **fields: Any) -> None:
         """One line; the fields are what the text says, for forms that keep them apart."""
         now = self.clock()
         if int(now) != self.second:
             if self.dropped:
                 dropped = f"log: {self.dropped} lines dropped"
                 self.write(self.form(now, dropped, {"dropped": self.dropped}))
-            self.second, self.printed, self.dropped, self.turned_away = int(now), 0, 0, 0
+            self.second, self.printed, self.dropped = int(now), 0, 0
+            self.turned_away = self.attempts = 0
         self.turned_away += turned_away
-        if self.printed >= LINES_A_SECOND or (turned_away and self.turned_away > TURNED_AWAY):
+        self.attempts += attempt
+        too_many = (turned_away and self.turned_away > TURNED_AWAY) or (attempt and self.attempts > ATTEMPTS)
+        if self.printed >= LINES_A_SECOND or too_many:
             self.dropped += 1
             return
         self.printed += 1
--- /dev/null
+++ b/brambleplank/net/metrics.py
@@ -0,0 +1,36 @@
+"""Counts of what this process has done, in the text form that Prometheus reads."""
+
+from __future__ import annotations
+
+from collections import Counter
+from collections.abc import Mapping
+
+HELP = {
+    "requests_ended": "Clients' connections that ended, by reason code.",
+    "requests_refused": "Requests that got no further attempt, by reason.",
+    "attempts_ended": "Attempts that ended before they stood, by result.",
+    "servers_changed": "Changes of servers that the list told, by what they became.",
+    "rule_violations": "Steps against a rule, by rule; each is a fault of this program.",
+    "rule_crossings": "Steps that were refused as something had changed since they were decided, by rule.",
+    "local_faults": "System calls that failed on this machine, by call and errno.",
+}
+
+
+class Metrics:
+    """Counters by name and label; both sets are small and fixed."""
+
+    def __init__(self) -> None:
+        self.counters: dict[str, Counter[str]] = {}
+
+    def count(self, name: str, label: str) -> None:
+        self.counters.setdefault(name, Counter())[label] += 1
+
+    def text(self, more: Mapping[str, Mapping[str, int]]) -> str:
+        """All counters, these and those that others keep, by name and label."""
+        lines = []
+        for name, counts in sorted({**self.counters, **more}.items()):
+            lines.append(f"# HELP brambleplank_{name}_total {HELP[name]}")
+            lines.append(f"# TYPE brambleplank_{name}_total counter")
+            for label, count in sorted(counts.items()):
+                lines.append(f'brambleplank_{name}_total{{what="{label}"}} {count}')
+        return "\n".join(lines)
--- a/brambleplank/net/proxy.py
+++ b/brambleplank/net/proxy.py
@@ -14,6 +14,7 @@
 from brambleplank.net.local_faults import LocalFaults
 from brambleplank.net.log import Log
 from brambleplank.net.message_times import SWEEP_INTERVAL, MessageTimes
+from brambleplank.net.metrics import Metrics
 from brambleplank.net.peers import Peers
 from brambleplank.net.probes import Probes
 from brambleplank.net.reach import reach_of
@@ -50,6 +51,7 @@
         probe: Callable[[Door, Probes, Server, Address], Probe],
     ) -> None:
         self.clock, self.log_lines, self.terms = clock, log, terms
+        self.metrics = Metrics()
         self.started = clock.now()
         self.local_faults = LocalFaults(log.say)
         self.door = Door(clock, descriptors)
@@ -191,14 +193,20 @@
         where = client.connects[-1].reach.name if client.connects else "-"
         age = self.clock.now() - client.came if client.came else 0.0
         name, tries = client.id or "-", len(client.connects)
+        self.metrics.count("requests_ended", client.done)
+        refusal = client.flow.refusal if client.flow else None
+        why = f" why={refusal.value}" if refusal else ""
+        if refusal:
+            self.metrics.count("requests_refused", refusal.value)
         self.log_lines.say(
-            f"end {client.done} {name} server={where} connects={tries} age={age:.3f}",
+            f"end {client.done} {name} server={where} connects={tries} age={age:.3f}{why}",
             turned_away=turned_away,
             end=client.done,
             id=name,
             server=where,
             connects=tries,
             age=round(age, 3),
+            why=refusal.value if refusal else "",
         )
         if client.id:
             self.door.over(client.id)
@@ -234,6 +242,8 @@
 
     def connect_over(self, connect: Connect, end: End, reset: bool) -> None:
         client, now = connect.client, self.clock.now()
+        if not connect.up:
+            self.log_attempt(connect, end, now - connect.sent)
         if connect.up:
             client.part(connect.code(end), reset)
         elif client.at:
@@ -271,6 +281,20 @@
             self.left(client, False)
             client.abort("overdue")
 
+    def log_attempt(self, connect: Connect, end: End, delay: float) -> None:
+        """A line about an attempt that did not stand."""
+        self.metrics.count("attempts_ended", end.value)
+        name, number, where = connect.client.id, connect.number, connect.reach.name
+        self.log_lines.say(
+            f"attempt {name} number={number} server={where} result={end.value} delay={delay:.3f}",
+            attempt=True,
+            id=name,
+            number=number,
+            server=where,
+            result=end.value,
+            delay=round(delay, 3),
+        )
+
     # What other proxies say.
 
     def server_tags(self) -> ServerTags:
@@ -309,7 +333,23 @@
         """The list is complete as of now, as its source shows by a sign of life."""
         self.start_times.complete(self.clock.now())
 
+    def log_changes(self, now: float, entries: list[Entry]) -> None:
+        """A line about each server that drains, is gone, has come or has started anew."""
+        if not self.serving:
+            return  # all of a first list is new
+        for server_id, _, _, condition, _, started in entries:
+            known = self.balancer.servers.get(server_id)
+            starts = started > max(known.started if known else 0.0, now - self.terms.ramp_time)
+            if known and known.condition is condition and not starts:
+                continue
+            if known is None and condition is Condition.GONE:
+                continue
+            self.metrics.count("servers_changed", "started" if starts else condition.value)
+            age = f", started {now - started:.1f} s ago" if starts else ""
+            self.log_lines.say(f"server: {server_id} {condition.value}{age}", server=server_id)
+
     def tell(self, entries: list[Entry], whole: bool) -> None:
+        self.log_changes(self.clock.now(), entries)
         self.balancer.list_told(self.clock.now(), entries, whole)
         self.tags = None
         self.probes.keep_to_ready()
@@ -318,6 +358,16 @@
         self.log_lines.say(f"list: {why}", list=why)
         self.balancer.list_failed(self.clock.now())
 
+    def metrics_text(self) -> str:
+        """All counters of this process."""
+        return self.metrics.text(
+            {
+                "rule_violations": {rule.value: n for rule, n in self.guard.violations.items()},
+                "rule_crossings": {rule.value: n for rule, n in self.guard.crossings.items()},
+                "local_faults": {f"{call} {name}": n for (call, name), n in self.local_faults.counts.items()},
+            }
+        )
+
     # What operators say: whether it is done, or so already, and a line for them.
 
     def ready(self) -> tuple[bool, str]:
--- a/brambleplank/records.py
+++ b/brambleplank/records.py
@@ -7,7 +7,7 @@
 from math import exp, inf
 from typing import Any
 
-from brambleplank.host import Condition, End, ServiceType
+from brambleplank.host import Condition, End, Refusal, ServiceType
 
 try:  # Danger: with a hundred proxies, what OpenSSL does ahead of each digest costs more than all flows.
     from _md5 import md5  # type: ignore[import-not-found]
@@ -102,6 +102,7 @@
         self.local_faults = 0  # of the connects: that failed on this machine, and never left it
         self.target: Server  # where the ring places it
         self.answered = self.asked = False  # nothing more is owed to the client; it has asked for a turn
+        self.refusal: Refusal | None = None  # why it got no further attempt
         self.turn: Server | None = None  # where the keeper has it go, though the server is cold
         self.may_have_run: Connect | None = None  # the first connect not proved never to have run
 
--- a/tests/soak/judge.py
+++ b/tests/soak/judge.py
@@ -165,7 +165,7 @@
 
     @staticmethod
     def reached(life: Life, at: float) -> float:
-        """From when a change counts as told: discovery cannot be called while no socket can be made at all."""
+        """From when a change counts as told: without any socket discovery cannot be called."""
         for since, until in life.deaf:
             if since - DEAF_BEFORE <= at <= until:
                 return max(at, until + DEAF_AFTER)
--- a/tests/test_operating.py
+++ b/tests/test_operating.py
@@ -291,3 +291,25 @@
     assert server.next()[0] == "PING"
     assert "taken up: settings.policy_limits.may_probe" in program.read_again(settings=near)
     assert server.next()[0] == "end"  # the probe under way is closed
+
+
+def test_counts_and_reasons_of_what_was_done_can_be_read(run: Run) -> None:
+    one, other = Server("ERR"), Server("UP other")
+    program = operated(run, one, other)
+    _, watch = program.discovery.watch()
+    heard = [program.opening(f"{key:x}", kind="order").hear() for key in range(12)]
+    assert set(heard) == {"FAIL", "UP other"}
+    Discovery.tell(watch, json.dumps(told(42, True, s0=(one.dial, "draining"), s1=(other.dial, "draining"))))
+    while "BUSY" not in program.opening("7").hear():
+        pass
+    line = caller(program)
+    line.say("GET /-/metrics HTTP/1.1\r\nHost: here\r\n")
+    text = line.file.read().decode()
+    failed = heard.count("FAIL")
+    assert f'brambleplank_requests_ended_total{{what="aborted"}} {failed}\n' in text
+    assert f'brambleplank_attempts_ended_total{{what="error"}} {failed}\n' in text
+    assert 'brambleplank_requests_refused_total{what="no-server"} 1\n' in text
+    assert 'brambleplank_servers_changed_total{what="draining"} 2\n' in text
+    said = program.stop()
+    assert "server=s0 result=error delay=0." in said and "server: s0 draining" in said
+    assert "why=no-server" in said and "violation of" not in said
