Failing tests: a stop over a hung dial of before, a broken beginning, a pausing flow

Three crossings, each forced: SIGTERM while a connection from before the start (at=) waits for a hung server: no answer, the process stays up to 40 s; an exception in the beginning of an accepted connection: my HeldBack.let_in closes the socket under the reactor; a stop while a flow pauses after a fault of this machine: it is not expired with the others.

--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -256,3 +256,35 @@
         for program in programs:
             program.process.kill()
             program.process.wait()
+
+
+def test_a_stop_answers_who_waits_for_a_server_of_before_that_hangs(run: Run) -> None:
+    silent = Server(None)
+    program = run(told(41, True, s0=silent.dial))
+    client = program.opening(more=",at=s0")
+    silent.next()
+    begun = time.monotonic()
+    program.process.send_signal(signal.SIGTERM)
+    assert client.hear() == "FAIL"
+    assert program.process.wait(PATIENCE) == 0
+    assert time.monotonic() - begun < 3.7
+
+
+RAISES_ONCE = """
+from brambleplank.fronts.line import clients
+begin, raised = clients.Client.connectionMade, []
+def once(self):
+    if not raised:
+        raised.append(True)
+        raise OSError(107, "not connected")
+    begin(self)
+clients.Client.connectionMade = once
+"""
+
+
+def test_a_connection_whose_beginning_fails_costs_no_other(run: Run) -> None:
+    program = run(told(41, True, s0=Server().dial), patch=RAISES_ONCE)
+    first = program.caller()
+    assert first.hear() in ("", "reset")
+    assert [program.opening(f"{key:x}").hear() for key in range(20)] == ["UP r1"] * 20
+    assert "fault OSError" in program.stop()
--- a/tests/test_stories.py
+++ b/tests/test_stories.py
@@ -760,3 +760,16 @@
     fake.proxy.retune(replace(TERMS, peers=True, measures=True))
     fake.pass_time(8.0)
     assert 10 <= len(fake.asked("probe")) <= 40 and 5 <= len(fake.asked("tell_held")) <= 14
+
+
+def test_a_flow_that_pauses_after_a_fault_of_this_machine_is_answered_by_the_end_of_a_stop() -> None:
+    fake = Fake(1, service_types={"feed": replace(FEED, connect_timeout=30.0)}, leave_within=3.0)
+    flow = fake.come(wait=30.0)
+    for _ in range(12):
+        fake.end(flow, End.LOCAL)
+        fake.pass_time(2.0)  # longer than any pause
+    assert not flow.answered and len(flow.connects) == 13
+    fake.end(flow, End.LOCAL)  # it pauses
+    fake.proxy.stop(fake.now)
+    fake.pass_time(3.0)
+    assert flow.answered
