--- a/brambleplank/net/buffers.py
+++ b/brambleplank/net/buffers.py
@@ -214,13 +214,13 @@
     def let_in(self, accepted: Any, address: Any) -> None:
         """One connection; a fault in its beginning is not the others'."""
         number, self.sessionno = self.sessionno, self.sessionno + 1
+        protocol = self.factory.buildProtocol(self._buildAddr(address))  # type: ignore[attr-defined]
+        transport = self.transport(accepted, protocol, address, self, number, self.reactor)
         try:
-            protocol = self.factory.buildProtocol(self._buildAddr(address))  # type: ignore[attr-defined]
-            transport = self.transport(accepted, protocol, address, self, number, self.reactor)
             protocol.makeConnection(transport)
         except Exception:
             LOG.failure("a connection could not be taken in")
-            accepted.close()
+            transport.abortConnection()  # not closed here: the reactor would go on watching its number
 
     def hold(self) -> None:
         """Leaves connections in the kernel."""
--- a/brambleplank/net/emptying.py
+++ b/brambleplank/net/emptying.py
@@ -48,6 +48,9 @@
         if now >= self.balancer.stop_at:
             for client in list(self.door.waiting):
                 client.show_out()
+            for client in list(self.clients):
+                if client.at is not None and client.standing is None:
+                    client.abort("unplaced")  # its server of before has not answered, and may never do so
         if self.is_empty(now):
             again.cancel()
             self.log.say(f"guard: {self.guard.summary()}")
--- a/brambleplank/start_times.py
+++ b/brambleplank/start_times.py
@@ -27,18 +27,22 @@
     def __init__(self) -> None:
         self.starts: dict[str, tuple[float, float]] = {}  # as told, and on this clock; told longest ago first
         self.ahead = -inf  # of the tellers' clock before this one, at least
+        self.first = True  # no list was told yet
         self.complete_at = -inf  # up to when the list was complete
 
     def complete(self, now: float) -> None:
         """Whatever has started by now and can be known has been told."""
         self.complete_at = now
 
-    def told(self, now: float, wall: float, entries: list[Entry], ramp_time: float) -> list[Entry]:
-        """The entries of a list with their starts on this process's clock, on which it is `now`."""
+    def told(
+        self, now: float, wall: float, entries: list[Entry], whole: bool, ramp_time: float
+    ) -> list[Entry]:
+        """The entries of a list, or changes to it, with their starts on this process's clock at `now`."""
         newest = max((entry[5] for entry in entries), default=0.0)
         if newest > 0:
             self.ahead = max(self.ahead, newest - now)
-        trusted = self.complete_at == -inf and self.mostly_unproven(now, wall, entries, ramp_time)
+        trusted = whole and self.first and self.mostly_unproven(now, wall, entries, ramp_time)
+        self.first = False
         own = [(*entry[:5], self.start(now, wall, entry, trusted)) for entry in entries]
         while len(self.starts) > MAX_KEPT:
             del self.starts[next(iter(self.starts))]
