--- /dev/null
+++ b/brambleplank/net/overdue.py
@@ -0,0 +1,37 @@
+"""The backstop of the first rule: a request that the decisions have left without an answer gets one."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Collection
+
+from brambleplank.net.clock import Clock
+from brambleplank.net.message_times import SWEEP_INTERVAL
+from brambleplank.rule_guard import OVERDUE, RuleGuard
+from brambleplank.seams import Client
+
+
+class Overdue:
+    """Looks for such requests; `answer` gives one its final answer."""
+
+    def __init__(
+        self, clock: Clock, guard: RuleGuard, clients: Collection[Client], answer: Callable[[Client], None]
+    ) -> None:
+        self.clock, self.guard, self.clients, self.answer = clock, guard, clients, answer
+        self.found: set[Client] = set()  # at the last look
+
+    def sweep(self) -> None:
+        """Answers what is overdue twice in a row; repeats itself.
+
+        After a stall of this process timers come first: the first look is made before answers are read.
+        """
+        self.clock.later(SWEEP_INTERVAL, self.sweep)
+        now = self.clock.now()
+        before, self.found = self.found, set()
+        for client in list(self.clients):
+            if now < client.due + OVERDUE or client.done or client.standing is not None:
+                continue
+            if client not in before:
+                self.found.add(client)
+                continue
+            self.guard.unanswered(client.id, f"had no answer {now - client.due:.3f} s after its time")
+            self.answer(client)
--- a/brambleplank/net/proxy.py
+++ b/brambleplank/net/proxy.py
@@ -14,13 +14,14 @@
 from brambleplank.net.local_faults import LocalFaults
 from brambleplank.net.log import Log
 from brambleplank.net.message_times import SWEEP_INTERVAL, MessageTimes
-from brambleplank.net.metrics import Metrics
+from brambleplank.net.overdue import Overdue
 from brambleplank.net.peers import Peers
 from brambleplank.net.probes import Probes
 from brambleplank.net.reach import reach_of
+from brambleplank.net.reports import Reports
 from brambleplank.records import Flow, Server
 from brambleplank.rotation import Rotation
-from brambleplank.rule_guard import OVERDUE, RuleGuard
+from brambleplank.rule_guard import RuleGuard
 from brambleplank.seams import Client, Connect, Probe, Shares, Source
 from brambleplank.server_tags import ServerTags
 from brambleplank.start_times import StartTimes
@@ -51,7 +52,7 @@
         probe: Callable[[Door, Probes, Server, Address], Probe],
     ) -> None:
         self.clock, self.log_lines, self.terms = clock, log, terms
-        self.metrics = Metrics()
+        self.reports = Reports(log)
         self.started = clock.now()
         self.local_faults = LocalFaults(log.say)
         self.door = Door(clock, descriptors)
@@ -69,7 +70,6 @@
         self.shares: Shares | None = None  # with the other processes of its fleet, where it does
         self.going_on: Client | None = None  # whose next connect is looked for
         self.tags: ServerTags | None = None  # how other proxies name the servers; made when first needed
-        self.overdue: set[Client] = set()  # without an answer at their time, at the last look
         self.rotation = Rotation()
         self.start_times = StartTimes()
         self.guard = RuleGuard(terms, log.say)
@@ -85,7 +85,7 @@
             clock, log, self.balancer, self.door, self.clients, lambda: self.emptied(), self.guard
         )
         clock.later(SWEEP_INTERVAL, self.message_times.sweep)
-        clock.later(SWEEP_INTERVAL, self.sweep_overdue)
+        clock.later(SWEEP_INTERVAL, Overdue(clock, self.guard, self.clients, self.answer_overdue).sweep)
 
     def takes_flows(self) -> bool:
         told = self.serving and (self.shares is None or self.shares.ready())
@@ -190,24 +190,8 @@
 
     def ended(self, client: Client, turned_away: bool) -> None:
         """A connection of a client is over, or has its last word."""
-        where = client.connects[-1].reach.name if client.connects else "-"
         age = self.clock.now() - client.came if client.came else 0.0
-        name, tries = client.id or "-", len(client.connects)
-        self.metrics.count("requests_ended", client.done)
-        refusal = client.flow.refusal if client.flow else None
-        why = f" why={refusal.value}" if refusal else ""
-        if refusal:
-            self.metrics.count("requests_refused", refusal.value)
-        self.log_lines.say(
-            f"end {client.done} {name} server={where} connects={tries} age={age:.3f}{why}",
-            turned_away=turned_away,
-            end=client.done,
-            id=name,
-            server=where,
-            connects=tries,
-            age=round(age, 3),
-            why=refusal.value if refusal else "",
-        )
+        self.reports.ended(client, age, turned_away)
         if client.id:
             self.door.over(client.id)
             if client.done not in ANSWERED and client.standing is None:
@@ -215,6 +199,11 @@
         if self.shares:
             self.shares.ended(client, client.done == "rejected")
 
+    def answer_overdue(self, client: Client) -> None:
+        """The final answer of a request that the decisions have left without one."""
+        self.left(client, False)
+        client.abort("overdue")
+
     # What servers say.
 
     def stands(self, connect: Connect) -> None:
@@ -243,7 +232,7 @@
     def connect_over(self, connect: Connect, end: End, reset: bool) -> None:
         client, now = connect.client, self.clock.now()
         if not connect.up:
-            self.log_attempt(connect, end, now - connect.sent)
+            self.reports.attempt(connect, end, now - connect.sent)
         if connect.up:
             client.part(connect.code(end), reset)
         elif client.at:
@@ -262,39 +251,6 @@
             )
             self.going_on = None
 
-    def sweep_overdue(self) -> None:
-        """Answers requests that the decisions have left without an answer; repeats itself.
-
-        What is due twice in a row is: after a stall of this process timers come first, and the first look is
-        made before answers that have arrived are read.
-        """
-        self.clock.later(SWEEP_INTERVAL, self.sweep_overdue)
-        now = self.clock.now()
-        before, self.overdue = self.overdue, set()
-        for client in list(self.clients):
-            if now < client.due + OVERDUE or client.done or client.standing is not None:
-                continue
-            if client not in before:
-                self.overdue.add(client)
-                continue
-            self.guard.unanswered(client.id, f"had no answer {now - client.due:.3f} s after its time")
-            self.left(client, False)
-            client.abort("overdue")
-
-    def log_attempt(self, connect: Connect, end: End, delay: float) -> None:
-        """A line about an attempt that did not stand."""
-        self.metrics.count("attempts_ended", end.value)
-        name, number, where = connect.client.id, connect.number, connect.reach.name
-        self.log_lines.say(
-            f"attempt {name} number={number} server={where} result={end.value} delay={delay:.3f}",
-            attempt=True,
-            id=name,
-            number=number,
-            server=where,
-            result=end.value,
-            delay=round(delay, 3),
-        )
-
     # What other proxies say.
 
     def server_tags(self) -> ServerTags:
@@ -333,24 +289,11 @@
         """The list is complete as of now, as its source shows by a sign of life."""
         self.start_times.complete(self.clock.now())
 
-    def log_changes(self, now: float, entries: list[Entry]) -> None:
-        """A line about each server that drains, is gone, has come or has started anew."""
-        if not self.serving:
-            return  # all of a first list is new
-        for server_id, _, _, condition, _, started in entries:
-            known = self.balancer.servers.get(server_id)
-            starts = started > max(known.started if known else 0.0, now - self.terms.ramp_time)
-            if known and known.condition is condition and not starts:
-                continue
-            if known is None and condition is Condition.GONE:
-                continue
-            self.metrics.count("servers_changed", "started" if starts else condition.value)
-            age = f", started {now - started:.1f} s ago" if starts else ""
-            self.log_lines.say(f"server: {server_id} {condition.value}{age}", server=server_id)
-
     def tell(self, entries: list[Entry], whole: bool) -> None:
-        self.log_changes(self.clock.now(), entries)
-        self.balancer.list_told(self.clock.now(), entries, whole)
+        now = self.clock.now()
+        if self.serving:  # all of a first list is new
+            self.reports.listed(now, entries, self.balancer.servers, self.terms.ramp_time)
+        self.balancer.list_told(now, entries, whole)
         self.tags = None
         self.probes.keep_to_ready()
 
@@ -360,7 +303,7 @@
 
     def metrics_text(self) -> str:
         """All counters of this process."""
-        return self.metrics.text(
+        return self.reports.metrics.text(
             {
                 "rule_violations": {rule.value: n for rule, n in self.guard.violations.items()},
                 "rule_crossings": {rule.value: n for rule, n in self.guard.crossings.items()},
--- /dev/null
+++ b/brambleplank/net/reports.py
@@ -0,0 +1,67 @@
+"""What the proxy writes to its log of requests, attempts and servers, and counts for its metrics."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Mapping
+
+from brambleplank.host import Condition, End, Entry
+from brambleplank.net.log import Log
+from brambleplank.net.metrics import Metrics
+from brambleplank.records import Server
+from brambleplank.seams import Client, Connect
+
+
+class Reports:
+    """One line, and one count, for each end, failed attempt and change of the list."""
+
+    def __init__(self, log: Log) -> None:
+        self.log, self.metrics = log, Metrics()
+
+    def ended(self, client: Client, age: float, turned_away: bool) -> None:
+        """A connection of a client is over, or has its last word."""
+        where = client.connects[-1].reach.name if client.connects else "-"
+        name, tries = client.id or "-", len(client.connects)
+        self.metrics.count("requests_ended", client.done)
+        refusal = client.flow.refusal if client.flow else None
+        if refusal:
+            self.metrics.count("requests_refused", refusal.value)
+        why = f" why={refusal.value}" if refusal else ""
+        self.log.say(
+            f"end {client.done} {name} server={where} connects={tries} age={age:.3f}{why}",
+            turned_away=turned_away,
+            end=client.done,
+            id=name,
+            server=where,
+            connects=tries,
+            age=round(age, 3),
+            why=refusal.value if refusal else "",
+        )
+
+    def attempt(self, connect: Connect, end: End, delay: float) -> None:
+        """An attempt did not stand."""
+        self.metrics.count("attempts_ended", end.value)
+        name, number, where = connect.client.id, connect.number, connect.reach.name
+        self.log.say(
+            f"attempt {name} number={number} server={where} result={end.value} delay={delay:.3f}",
+            attempt=True,
+            id=name,
+            number=number,
+            server=where,
+            result=end.value,
+            delay=round(delay, 3),
+        )
+
+    def listed(
+        self, now: float, entries: Iterable[Entry], known: Mapping[str, Server], ramp_time: float
+    ) -> None:
+        """The list tells of servers: those that drain, are gone, have come or have started anew."""
+        for server_id, _, _, condition, _, started in entries:
+            server = known.get(server_id)
+            starts = started > max(server.started if server else 0.0, now - ramp_time)
+            if server and server.condition is condition and not starts:
+                continue
+            if server is None and condition is Condition.GONE:
+                continue
+            self.metrics.count("servers_changed", "started" if starts else condition.value)
+            age = f", started {now - started:.1f} s ago" if starts else ""
+            self.log.say(f"server: {server_id} {condition.value}{age}", server=server_id)
--- a/tests/soak/judge.py
+++ b/tests/soak/judge.py
@@ -105,7 +105,9 @@
         if self.broken(life, request.ended):
             return
         how = "reset" if request.reset else "ended"
-        self.breach("answer", f"{request.flow} {request.service_type} {how} with none, at n{request.proxy}")
+        when = f"sent at {request.sent:.3f}, ended at {request.ended:.3f}"
+        what = f"{request.flow} {request.service_type} {how} with none, at n{request.proxy}, {when}"
+        self.breach("answer", what)
 
     def effects(self, request: Request) -> None:
         kind, tried = self.kinds[request.service_type], self.attempts[request.flow]
--- a/tests/test_rule_guard.py
+++ b/tests/test_rule_guard.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import time
 from collections.abc import Callable
 from pathlib import Path
 from typing import Any
@@ -145,3 +146,28 @@
     assert client.hear() == ""
     said = program.stop()
     assert "end broke" in said and "fault" not in said
+
+
+DECISIONS_THAT_FORGET = """
+from brambleplank import decide
+decide.Promise.expire = decide.Promise.back = lambda *what, **more: None
+"""
+
+
+def test_a_request_that_the_decisions_forget_is_answered_and_counted(run: Run) -> None:
+    program = run(told(41, True, s0=StandIn(None).dial), patch=DECISIONS_THAT_FORGET)
+    assert program.caller("PING").hear() == "PONG"
+    begun = time.monotonic()
+    assert program.opening(d=400).hear() == "FAIL"
+    assert 0.4 < time.monotonic() - begun < 0.9
+    said = program.stop()
+    assert "violation of closing" in said and "guard: 1 violations" in said and "end overdue" in said
+
+
+def test_an_overlong_line_behind_an_opening_leaves_it_its_answer(run: Run) -> None:
+    program = run(told(41, True, s0=StandIn(None).dial))
+    client = program.opening()
+    client.conn.sendall(b"x" * 5000)
+    assert client.hear() == "ERR"
+    assert client.hear() == ""
+    assert "violation of" not in program.stop()
