--- a/brambleplank/fronts/line/clients.py
+++ b/brambleplank/fronts/line/clients.py
@@ -46,6 +46,7 @@
         self.standing: Line | None = None  # the one that is established
         self.at: tuple[ServiceType, int, int | None, Server] | None = None  # it stood there before the start
         self.pinged = self.asks_notice = False
+        self.lost = ""  # by which error its connection broke, if it did
         self.done = ""  # the reason code of the end, once there is one
 
     def connectionMade(self) -> None:  # noqa: N802
@@ -225,6 +226,7 @@
             if self.standing and not self.standing.over:
                 self.standing.transport.write(self.clearLineBuffer())  # a line that it left unfinished
             clean = reason.check(ConnectionDone) is not None
+            self.lost = "" if clean else error_of(reason)
             if self.line:
                 self.done = ("closed" if clean else "reset") if self.standing else "left"
             else:
@@ -234,6 +236,12 @@
         self.proxy.gone(self)
 
 
+def error_of(reason: Failure) -> str:
+    """The error by which a connection broke, as its transport names it."""
+    told = reason.value.args if reason.value else ()
+    return str(told[0]) if told else "reset"
+
+
 class Clients(Factory):
     noisy = False
 
--- a/brambleplank/net/buffers.py
+++ b/brambleplank/net/buffers.py
@@ -4,11 +4,12 @@
 
 import os
 from contextlib import suppress
+from errno import errorcode
 from socket import SO_ERROR, SOL_SOCKET, socket
 from typing import Any
 
 from twisted.internet import main, tcp
-from twisted.internet.error import ConnectBindError, TimeoutError, getConnectError
+from twisted.internet.error import ConnectBindError, ConnectionLost, TimeoutError, getConnectError
 from twisted.logger import Logger
 
 from brambleplank.net.local_faults import (
@@ -60,8 +61,8 @@
                 count = self.socket.recv_into(buffer)
             except BlockingIOError:
                 return None
-            except OSError:
-                return main.CONNECTION_LOST
+            except OSError as failed:
+                return ConnectionLost(errorcode.get(failed.errno or 0, "reset"))
             if not count:
                 return main.CONNECTION_DONE
             # Outside the inner `try`: an error of what the protocol does then is not this connection's end.
--- a/brambleplank/net/reports.py
+++ b/brambleplank/net/reports.py
@@ -25,16 +25,17 @@
         refusal = client.flow.refusal if client.flow else None
         if refusal:
             self.metrics.count("requests_refused", refusal.value)
-        why = f" why={refusal.value}" if refusal else ""
+        why = refusal.value if refusal else client.lost
+        text = f"end {client.done} {name} server={where} connects={tries} age={age:.3f}"
         self.log.say(
-            f"end {client.done} {name} server={where} connects={tries} age={age:.3f}{why}",
+            f"{text} why={why}" if why else text,
             turned_away=turned_away,
             end=client.done,
             id=name,
             server=where,
             connects=tries,
             age=round(age, 3),
-            why=refusal.value if refusal else "",
+            why=why,
         )
 
     def attempt(self, connect: Connect, end: End, delay: float) -> None:
--- a/brambleplank/seams.py
+++ b/brambleplank/seams.py
@@ -59,6 +59,7 @@
 
     flow: Flow | None
     at: tuple[ServiceType, int, int | None, Server] | None  # key, group, and server where it stood before
+    lost: str  # by which error its connection broke, if it did
     due: float  # when its answer is; infinite once it needs none, or has not asked
 
     @property
