The soak's judge is shown to find faults put in on purpose; two short seeds in the suite

Need: a judge that finds nothing may be blind. Change: tests/test_soak.py plays 6 processes for 7 s on two seeds with no rule broken, and four times with a fault put in: effects repeated with and without the guard, drains ignored, requests forgotten.

--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -15,10 +15,10 @@
 
 
 def play(
-    seed: int, folder: Path, proxies: int, servers: int, seconds: float, rate: float
+    seed: int, folder: Path, proxies: int, servers: int, seconds: float, rate: float, patch: str = ""
 ) -> tuple[World, list[Breach]]:
     """One run and its verdict."""
-    world = World(seed, folder, proxies, servers, seconds, rate)
+    world = World(seed, folder, proxies, servers, seconds, rate, patch)
     records = asyncio.run(world.run())
     return world, Judge(records, world.settings, rate, servers).judge()
 
--- a/tests/soak/proxies.py
+++ b/tests/soak/proxies.py
@@ -24,10 +24,16 @@
     """One proxy of the tier, over its processes."""
 
     def __init__(
-        self, number: int, folder: Path, address: tuple[str, int], agent: Agent, records: Records
+        self,
+        number: int,
+        folder: Path,
+        address: tuple[str, int],
+        agent: Agent,
+        records: Records,
+        patch: str = "",
     ) -> None:
         self.number, self.folder, self.address, self.agent = number, folder, address, agent
-        self.records = records
+        self.records, self.patch = records, patch
         folder.mkdir(parents=True, exist_ok=True)
         self.faults = Faults(folder)
         self.plan: dict[str, Any] = {}
@@ -57,7 +63,7 @@
         life = Life(self.number, time.monotonic(), log=str(self.folder / f"log-{len(self.lives)}"))
         life.descriptor_limit = self.config["limits"]["sockets"]
         with open(life.log, "wb") as log:
-            code = CODE.format(patch=self.faults.patch)
+            code = CODE.format(patch=f"{self.faults.patch}\n{self.patch}")
             self.process = subprocess.Popen([sys.executable, "-B", "-c", code], env=given, stderr=log)
         if "recv" in self.plan.get("fail", {}):
             life.broken.append((life.started, inf))
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -6,6 +6,7 @@
 import resource
 import signal
 import time
+import zlib
 from collections.abc import Callable, Coroutine
 from contextlib import suppress
 from math import inf
@@ -40,8 +41,17 @@
     """`proxies` processes before `servers` servers, for so many seconds."""
 
     def __init__(
-        self, seed: int, folder: Path, proxies: int, servers: int, seconds: float, rate: float
+        self,
+        seed: int,
+        folder: Path,
+        proxies: int,
+        servers: int,
+        seconds: float,
+        rate: float,
+        patch: str = "",
     ) -> None:
+        """`patch` is code that each process runs ahead of the program."""
+        self.patch = patch
         self.rng, self.folder, self.seconds, self.rate = Random(seed), folder, seconds, rate
         self.records = Records()
         self.settings = self.draw_settings(proxies)
@@ -92,7 +102,7 @@
         for number, agent in enumerate(self.agents):
             peers, peers_all = self.relay.peers(number)
             address = f"127.{20 + number // 200}.{1 + self.folder_number()}.{1 + number % 200}", 5000
-            proxy = Proxy(number, self.folder / f"p{number}", address, agent, self.records)
+            proxy = Proxy(number, self.folder / f"p{number}", address, agent, self.records, self.patch)
             proxy.configure(
                 name=f"n{number}",
                 listen=text_of(address),
@@ -107,7 +117,8 @@
         await self.wait_ready(self.proxies)
 
     def folder_number(self) -> int:
-        return sum(self.folder.name.encode()) % 200
+        """A part of this run's addresses, as others may be played beside it."""
+        return zlib.crc32(str(self.folder).encode()) % 250
 
     async def wait_ready(self, proxies: list[Proxy]) -> None:
         await asyncio.gather(*(self.knock(proxy) for proxy in proxies))
--- /dev/null
+++ b/tests/test_soak.py
@@ -0,0 +1,63 @@
+"""A short soak over real processes, and the same with faults put in on purpose, which the judge must find."""
+
+from __future__ import annotations
+
+from pathlib import Path
+
+import pytest
+
+from tests.soak.__main__ import MOST_LAG, play, told
+
+SEEDS = (3, 11)
+SABOTAGE = {
+    # Goes again whatever may have run, and the guard does not look.
+    "no effect twice": """
+from brambleplank import decide, rule_guard
+decide.Effects.forbids = lambda *what: False
+rule_guard.RuleGuard.against_repeating = lambda *what: ""
+""",
+    # Sends on to servers that drain.
+    "drain": """
+from brambleplank import decide, rule_guard
+decide.Drain.forbids = lambda *what: False
+rule_guard.RuleGuard.against_sending = lambda *what: ""
+""",
+    # Forgets requests whose first attempt fails.
+    "answer": """
+from brambleplank import decide
+from brambleplank.net import overdue
+decide.Promise.back = decide.Promise.expire = lambda *what, **more: None
+overdue.Overdue.sweep = lambda self: None
+""",
+    # Goes again whatever may have run: the guard refuses it, and its line is found.
+    "log": """
+from brambleplank import decide
+decide.Effects.forbids = lambda *what: False
+""",
+}
+
+
+def verdict(seed: int, folder: Path, patch: str = "") -> tuple[set[str], str]:
+    """The rules that were broken in a short run, and what is said of it; played again if it is void."""
+    for turn in range(3):
+        world, breaches = play(seed, folder / str(turn), 6, 6, 7.0, 40.0, patch)
+        if sum(late for _, late in world.records.lags) <= MOST_LAG:
+            return {breach.rule for breach in breaches}, told(seed, world, breaches, 5)
+    return set(), "void: this machine was too busy to judge"
+
+
+@pytest.mark.timeout(180)
+@pytest.mark.parametrize("seed", SEEDS)
+def test_no_rule_is_broken_while_troubles_overlap(tmp_path: Path, seed: int) -> None:
+    broken, said = verdict(seed, tmp_path)
+    assert not broken, said
+
+
+@pytest.mark.timeout(180)
+@pytest.mark.parametrize("rule", SABOTAGE)
+def test_a_fault_put_in_on_purpose_is_found(tmp_path: Path, rule: str) -> None:
+    for seed in range(1, 4):
+        broken, said = verdict(seed, tmp_path / str(seed), SABOTAGE[rule])
+        if rule in broken:
+            return
+    pytest.fail(f"not found: {rule}; {said}")
