--- a/tests/soak/discovery.py
+++ b/tests/soak/discovery.py
@@ -8,6 +8,7 @@
 import time
 from collections.abc import Iterable
 from contextlib import suppress
+from math import inf
 from typing import Any
 
 from tests.soak.servers import Server
@@ -30,6 +31,7 @@
         self.missed: list[dict[str, Any]] = []  # while it was down
         self.down_until = 0.0
         self.silent_since = 0.0  # of its newest silent watch; 0: none
+        self.unwatched_since = 0.0  # from when on no watch was open; infinite while one is
         self.listener: asyncio.Server | None = None
 
     async def listen(self) -> None:
@@ -59,6 +61,7 @@
             else:
                 told = self.known()
             self.watches.add(writer)
+            self.unwatched_since = inf
             await self.write(writer, json.dumps(told, indent=1 if self.pieces else None))
             while not writer.is_closing():
                 await asyncio.sleep(EMPTY_LINE_EVERY)
@@ -69,6 +72,8 @@
         finally:
             self.watches.discard(writer)
             self.silenced.discard(writer)
+            if not self.watches:
+                self.unwatched_since = min(self.unwatched_since, time.monotonic())
             writer.close()
 
     async def write(self, writer: asyncio.StreamWriter, text: str) -> None:
--- a/tests/soak/proxies.py
+++ b/tests/soak/proxies.py
@@ -40,6 +40,8 @@
         self.config: dict[str, Any] = {}
         self.process: subprocess.Popen[bytes] | None = None
         self.lives: list[Life] = []
+        self.older: list[tuple[subprocess.Popen[bytes], Life]] = []  # processes that hand over to a newer one
+        self.upgrading = False
         self.taken_in = False  # whether the front deals connections to it
         self.ignored_until = inf  # when the front stops, after it was told to end
 
@@ -106,8 +108,29 @@
         if self.life.told_to_stop == inf:  # at its end Python gives SIGUSR1 its default action back
             self.send(signal.SIGUSR1)
 
+    def upgrade(self) -> None:
+        """Starts the next process beside this one, which goes on until `end_older`."""
+        assert self.process is not None
+        self.older.append((self.process, self.life))
+        dealt = self.taken_in
+        self.start()
+        self.taken_in = dealt  # there is one queue of clients, whoever accepts
+
+    def end_older(self, signal_number: int) -> None:
+        for process, life in self.older:
+            if life.ended == inf:
+                with suppress(ProcessLookupError):
+                    process.send_signal(signal_number)
+                if signal_number == signal.SIGTERM:
+                    life.told_to_stop = time.monotonic()
+                else:
+                    life.killed = time.monotonic()
+
     def look(self) -> None:
         """Notes its end, and the descriptors that it holds."""
+        for process, life in self.older:
+            if life.ended == inf and (code := process.poll()) is not None:
+                life.ended, life.code = time.monotonic(), code
         if self.process is None:
             return
         if self.life.ended == inf and (code := self.process.poll()) is not None:
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -99,6 +99,7 @@
         for agent in self.agents:
             await agent.listen()
             agent.hosts = {entry["host"]: (1, entry) for entry in entries_of(self.servers)}
+        upgrades = self.rng.random() < 0.5
         for number, agent in enumerate(self.agents):
             peers, peers_all = self.relay.peers(number)
             address = f"127.{20 + number // 200}.{1 + self.folder_number()}.{1 + number % 200}", 5000
@@ -112,6 +113,8 @@
                 peers=peers,
                 peers_all=peers_all,
             )
+            if upgrades:
+                proxy.configure(mgmt=f"{address[0]}:5001")
             proxy.start()
             self.proxies.append(proxy)
         await self.wait_ready(self.proxies)
@@ -150,6 +153,11 @@
         dealt = [proxy for proxy in self.proxies if proxy.taken_in and now < proxy.ignored_until]
         return self.rng.choice(dealt) if dealt else None
 
+    def choose_settled(self) -> Proxy | None:
+        """One that is not amid an upgrade."""
+        proxy = self.choose()
+        return None if proxy is None or proxy.upgrading else proxy
+
     async def come(self, again: bool = False) -> None:
         proxy = self.choose()
         if proxy is None:
@@ -248,7 +256,7 @@
         server.drop(0.5)
 
     async def stop_and_start(self) -> None:
-        proxy = self.choose()
+        proxy = self.choose_settled()
         if proxy is None:
             return
         self.note(f"SIGTERM n{proxy.number}")
@@ -268,8 +276,26 @@
                 await asyncio.sleep(0.01)
                 proxy.look()
 
+    async def upgrade(self) -> None:
+        """The next process beside the first, which is told to leave, or killed, once the next one serves."""
+        proxy = self.choose_settled()
+        if proxy is None or "mgmt" not in proxy.config or proxy.life.ready == inf:
+            return
+        proxy.upgrading = True
+        self.note(f"upgrade n{proxy.number}")
+        proxy.upgrade()
+        await self.knock(proxy)
+        await asyncio.sleep(self.rng.uniform(0.1, 1.0))
+        proxy.end_older(signal.SIGTERM)
+        until = time.monotonic() + KILL_AFTER
+        while any(life.ended == inf for _, life in proxy.older) and time.monotonic() < until:
+            await asyncio.sleep(0.02)
+            proxy.look()
+        proxy.end_older(signal.SIGKILL)
+        proxy.upgrading = False
+
     async def kill_and_start(self) -> None:
-        proxy = self.choose()
+        proxy = self.choose_settled()
         if proxy is None:
             return
         self.note(f"SIGKILL n{proxy.number}")
@@ -318,6 +344,9 @@
                 agent.pieces = not agent.pieces
             else:
                 agent.go_down(3.0)
+                for told in self.records.unready:
+                    if told.proxy == agent.proxy and told.at >= agent.unwatched_since:
+                        told.at = max(told.at, agent.down_until)  # no call could be answered meanwhile
         if what == "down":
             await asyncio.sleep(3.0)
             for agent in some:
@@ -392,6 +421,8 @@
             self.stop_and_start,
             self.stop_and_start,
             self.kill_and_start,
+            self.upgrade,
+            self.upgrade,
             self.hold_up,
             self.reload,
             self.discovery_trouble,
@@ -444,6 +475,7 @@
             for proxy in self.proxies:
                 proxy.send(signal.SIGCONT)
                 proxy.kill()
+                proxy.end_older(signal.SIGKILL)
             self.relay.close()
             for server in self.servers:
                 if server.listener is not None:
