--- a/brambleplank/net/buffers.py
+++ b/brambleplank/net/buffers.py
@@ -12,6 +12,7 @@
 from twisted.internet.error import ConnectBindError, ConnectionLost, TimeoutError, getConnectError
 from twisted.logger import Logger
 
+from brambleplank.errors import BrambleplankError
 from brambleplank.net.local_faults import (
     ACCEPT_NEXT,
     CONNECT_ERRORS,
@@ -28,6 +29,12 @@
 LINGER = 1.5  # seconds that the other side has to read what is left, and to end its own side
 
 
+class BrokenConnectionError(BrambleplankError, ConnectionLost):
+    """A read failed with this errno: the connection is lost. Twisted's own type would not keep which."""
+
+    DO = "look at the network between the two, or at who has reset the connection"
+
+
 class Pool:
     """Buffers that were given back are used again; what a burst needed beyond a few is let go."""
 
@@ -62,7 +69,7 @@
             except BlockingIOError:
                 return None
             except OSError as failed:
-                return ConnectionLost(errorcode.get(failed.errno or 0, "reset"))
+                return BrokenConnectionError(errorcode.get(failed.errno or 0, "reset"))
             if not count:
                 return main.CONNECTION_DONE
             # Outside the inner `try`: an error of what the protocol does then is not this connection's end.
--- a/brambleplank/net/proxy.py
+++ b/brambleplank/net/proxy.py
@@ -29,8 +29,11 @@
 REDIAL_AFTER = 0.1  # seconds, of a connection from before the start
 PROBES_FROM = 1 / 4  # share of the descriptors that is left to others
 TAKE_UP = 40.0  # seconds after the start in which connections from before it are taken up
-# Reason codes of requests that had their answer before they stood, or whose client had left.
-ANSWERED = frozenset(("rejected", "aborted", "unplaced", "early", "fault", "overdue", "left", "handed"))
+# Reason codes of requests that had their answer without standing here, or whose client had left; "broke" without
+# standing: established at the process before, and ended while it was handed on.
+ANSWERED = frozenset(
+    ("rejected", "aborted", "unplaced", "early", "fault", "overdue", "left", "handed", "broke")
+)
 FAILED = (End.ERROR, End.TIMEOUT, End.UNREACHABLE, End.RESET)  # what speaks against a server, over a fleet
 
 
--- a/tests/test_machine_faults.py
+++ b/tests/test_machine_faults.py
@@ -214,3 +214,13 @@
     program.process.wait()
     program.process, program.lines = start(program.path), []
     assert {program.opening(f"{key:x}").hear() for key in range(16)} == {"UP other"}
+
+
+def test_a_connection_that_breaks_is_logged_with_its_error(run: Run, tmp_path: Path) -> None:
+    faults = Faults(tmp_path)
+    program = run(fleet([Server()]), patch=faults.patch)
+    client = program.opening()
+    assert client.hear() == "UP r1"
+    faults.set(program.process, fail={"recv": (1.0, "ETIMEDOUT")}, times=1)
+    client.say("M 1")
+    assert "why=ETIMEDOUT" in program.line("end reset")
