The guard works out what a server bears only in slow start

Cause: Proxy.may_dial asked Cold.sustainable at each attempt, which sums over all servers where processes speak: with 3,200 of them that doubles what a placement costs. Change: asked for servers in slow start alone (their number bounds what the guard remembers, 4,096).

--- a/brambleplank/rule_guard.py
+++ b/brambleplank/rule_guard.py
@@ -126,13 +126,11 @@
     # Starting.
 
     def dialled(self, now: float, server: Server, sustainable: float) -> None:
-        """An attempt of this process begins; `sustainable` is what the server bears now in one fall time.
+        """An attempt of this process begins at a server in slow start.
 
-        What this process sends alone must not exceed what all of them may send together.
+        `sustainable` is what it bears now in one fall time. What this process sends alone must not exceed what
+        all of them may send together.
         """
-        if server.started <= max(0.0, now - self.terms.ramp_time):
-            self.sent.pop(server, None)
-            return
         if server not in self.sent and len(self.sent) >= MAX_STARTING:
             del self.sent[next(iter(self.sent))]
         sent = self.sent.setdefault(server, deque())
