--- a/brambleplank/net/proxy.py
+++ b/brambleplank/net/proxy.py
@@ -29,8 +29,8 @@
 REDIAL_AFTER = 0.1  # seconds, of a connection from before the start
 PROBES_FROM = 1 / 4  # share of the descriptors that is left to others
 TAKE_UP = 40.0  # seconds after the start in which connections from before it are taken up
-# Reason codes of requests that had their answer without standing here, or whose client had left; "broke" is one
-# that stood at the process before, and ended while it was handed on.
+# Reason codes of requests that had their answer without standing here, or whose client had left; "broke" is
+# one that stood at the process before, and ended while it was handed on.
 ANSWERED = frozenset(
     ("rejected", "aborted", "unplaced", "early", "fault", "overdue", "left", "handed", "broke")
 )
--- a/brambleplank/rule_guard.py
+++ b/brambleplank/rule_guard.py
@@ -22,7 +22,6 @@
 MAX_HELD_UP = 0.15  # seconds for which this process may be held up between reading its clock and writing
 OVERDUE = 0.1  # seconds after its time from which a flow without an answer is a violation
 FEW = 30  # attempts in a fall time, under which chance weighs more
-MAX_STARTING = 4096  # servers in slow start whose attempts are remembered
 NEVER_RAN = frozenset((End.FULL, End.UNREACHABLE, End.MOOT, End.LOCAL))
 
 
@@ -128,11 +127,12 @@
     def dialled(self, now: float, server: Server, sustainable: float) -> None:
         """An attempt of this process begins at a server in slow start.
 
-        `sustainable` is what it bears now in one fall time. What this process sends alone must not exceed what
-        all of them may send together.
+        `sustainable` is what it bears now in one fall time. What this process sends alone must not exceed
+        what all of them may send together.
         """
-        if server not in self.sent and len(self.sent) >= MAX_STARTING:
-            del self.sent[next(iter(self.sent))]
+        if server not in self.sent:
+            for other in [other for other in self.sent if now >= other.started + self.terms.ramp_time]:
+                del self.sent[other]
         sent = self.sent.setdefault(server, deque())
         sent.append(now)
         while sent[0] <= now - self.terms.fall_time:
--- a/tests/test_rule_guard.py
+++ b/tests/test_rule_guard.py
@@ -111,6 +111,10 @@
     for _ in range(10):
         guard.dialled(NOW + 4.0, cold, 4.0)
     assert guard.violations == {Rule.STARTING: 1}
+    later = server("s6")
+    later.start(NOW + TERMS.ramp_time)
+    guard.dialled(NOW + TERMS.ramp_time, later, 4.0)
+    assert list(guard.sent) == [later]  # the other is warm by now
 
 
 def test_a_server_that_drains_while_its_connection_comes_up_late_gets_no_opening(run: Run) -> None:
