--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -4,6 +4,8 @@
 
 import argparse
 import asyncio
+import signal
+import sys
 import tempfile
 from collections import Counter
 from pathlib import Path
@@ -54,6 +56,8 @@
     given = parser.parse_args()
     first, _, last = given.seeds.partition("-")
     logs = given.logs or Path(tempfile.mkdtemp(prefix="soak-"))
+    # Ended so, a run still ends its processes.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(1))
     broken = 0
     for seed in range(int(first), int(last or first) + 1):
         folder = logs / f"seed-{seed}"
