A newer start proves that those of a first list were longer ago

Change: when a later start proves the time to be later, starts already told are worked out again, never past what this machine's clock and the complete list allow. Result: a test of both bounds; files concerned pass.

--- a/brambleplank/net/proxy.py
+++ b/brambleplank/net/proxy.py
@@ -282,6 +282,9 @@
     def list_told(self, entries: list[Entry], addresses: dict[str, Address], whole: bool) -> None:
         now = self.clock.now()
         entries = self.start_times.told(now, self.clock.wall(), entries, whole, self.terms.ramp_time)
+        for server_id, started in self.start_times.older.items():
+            if (known := self.balancer.servers.get(server_id)) and started < known.started:
+                known.started = started
         for server_id, where in addresses.items():
             reach_of(self.balancer.record(now, server_id)).address = where
         self.tell(self.rotation.told(entries, whole), whole)
--- a/brambleplank/start_times.py
+++ b/brambleplank/start_times.py
@@ -8,7 +8,8 @@
 - the age that the newest start of all lists proves: time was at least that late when it was told;
 - no start told now lies before the moment up to which the list was complete without it.
 
-A start is worked out once, when it is first told; later steps of any clock do not move it.
+A start is worked out once, when it is first told; later steps of any clock do not move it. Only a newer start
+that is told later may prove that it was longer ago.
 """
 
 from __future__ import annotations
@@ -26,6 +27,8 @@
 
     def __init__(self) -> None:
         self.starts: dict[str, tuple[float, float]] = {}  # as told, and on this clock; told longest ago first
+        self.older: dict[str, float] = {}  # those that the last list has proved to be longer ago
+        self.floors: dict[str, float] = {}  # the earliest that a start can have been, whatever is told later
         self.ahead = -inf  # of the tellers' clock before this one, at least
         self.first = True  # no list was told yet
         self.complete_at = -inf  # up to when the list was complete
@@ -38,16 +41,29 @@
         self, now: float, wall: float, entries: list[Entry], whole: bool, ramp_time: float
     ) -> list[Entry]:
         """The entries of a list, or changes to it, with their starts on this process's clock at `now`."""
+        self.older = {}
         newest = max((entry[5] for entry in entries), default=0.0)
-        if newest > 0:
-            self.ahead = max(self.ahead, newest - now)
+        if newest > 0 and newest - now > self.ahead:
+            self.ahead = newest - now
+            self.prove_again()
         trusted = whole and self.first and self.mostly_unproven(now, wall, entries, ramp_time)
         self.first = False
         own = [(*entry[:5], self.start(now, wall, entry, trusted)) for entry in entries]
         while len(self.starts) > MAX_KEPT:
-            del self.starts[next(iter(self.starts))]
+            oldest = next(iter(self.starts))
+            del self.starts[oldest]
+            self.floors.pop(oldest, None)
         return own
 
+    def prove_again(self) -> None:
+        """Starts that are known now to have been longer ago than could be said when they were told."""
+        for server_id, floor in self.floors.items():
+            told, own = self.starts[server_id]
+            proven = max(floor, told - self.ahead)
+            if proven < own:
+                self.starts[server_id] = told, proven
+                self.older[server_id] = proven
+
     def start(self, now: float, wall: float, entry: Entry, trusted: bool) -> float:
         """One server's start; `trusted`: by the wall clock alone, as nothing else is known."""
         server_id, told = entry[0], entry[5]
@@ -60,6 +76,7 @@
             own = self.by_wall(now, wall, told)
         else:
             own = self.proven(now, wall, told)
+            self.floors[server_id] = min(own, max(self.by_wall(now, wall, told), self.complete_at))
         if told > 0 or before:
             self.starts[server_id] = (told if told > 0 or not before else before[0]), own
         return own
--- a/tests/test_start_times.py
+++ b/tests/test_start_times.py
@@ -67,6 +67,19 @@
     assert change[0][5] == pytest.approx(NOW + 0.1)
 
 
+def test_a_newer_start_proves_that_those_of_a_first_list_were_longer_ago() -> None:
+    times = StartTimes()
+    first = told(times, NOW, UNIX, s0=0.0, s1=0.0, s2=0.0, one=UNIX - 9.0, two=UNIX - 7.0)
+    assert first["one"] == NOW - 2.0 and first["two"] == NOW
+    told(times, NOW + 1.0, UNIX + 1.0, newer=UNIX + 0.5)
+    assert times.starts["one"][1] == pytest.approx(NOW - 8.5)
+    assert times.starts["two"][1] == pytest.approx(NOW - 6.5)
+    told(
+        times, NOW + 2.0, UNIX + 2.0, wrong=UNIX + HOUR
+    )  # a server whose clock is ahead proves no more than ours
+    assert times.starts["one"][1] == pytest.approx(NOW - 9.0)
+
+
 def test_the_same_start_told_again_after_a_step_is_the_same() -> None:
     times = follower(UNIX)
     first = told(times, NOW + 0.5, UNIX + 0.5, new=UNIX + 0.4)
