--- a/tests/soak/proxies.py
+++ b/tests/soak/proxies.py
@@ -18,6 +18,7 @@
 from tests.soak.records import Life, Records
 
 CODE = "{patch}\nimport runpy\nrunpy.run_module('brambleplank', run_name='__main__')"
+READS_SIGNALS_AFTER = 1.0  # seconds after the start of a process in which it may not read its faults yet
 
 
 class Proxy:
@@ -107,7 +108,9 @@
             self.life.broken.append((time.monotonic(), inf))
         elif self.life.broken:
             self.life.broken[-1] = self.life.broken[-1][0], min(self.life.broken[-1][1], time.monotonic())
-        self.send(signal.SIGUSR1)
+        # One that has just been started reads the file by itself, and may not take the signal yet.
+        if self.life.ready < inf or time.monotonic() > self.life.started + READS_SIGNALS_AFTER:
+            self.send(signal.SIGUSR1)
 
     def upgrade(self) -> None:
         """Starts the next process beside this one, which goes on until `end_older`."""
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -19,13 +19,12 @@
 from tests.soak import servers as server_modes
 from tests.soak.clients import BAD, Client
 from tests.soak.discovery import Agent, entries_of
-from tests.soak.proxies import Proxy
+from tests.soak.proxies import READS_SIGNALS_AFTER, Proxy
 from tests.soak.records import Records, Request, Told
 from tests.soak.servers import Server
 
 READY_WITHIN = 30.0  # seconds
 KILL_AFTER = 3.7  # seconds after SIGTERM, as the platform has it
-READS_SIGNALS_AFTER = 1.0  # seconds after the start of a process in which it may not read its faults yet
 QUIET = 6.0  # seconds before the first trouble, in runs that begin quietly
 SYSTEM_CALLS = (
     ("accept", ("EMFILE", "ENFILE", "ENOBUFS", "ECONNABORTED")),
