Failing test: a reload that finds an address in use; one factory for operators

Program.once_free sleeps, which a start may and a reload may not: a SIGHUP that first allows proxies to speak, while their address is in use, holds up every client for 5 s. Change beside it: the operators' factory is made once, however often their address is tried (each would have counted 18 descriptors), and an OSError that stays is a CannotListenError: one line and exit 2.

--- a/brambleplank/platform/run.py
+++ b/brambleplank/platform/run.py
@@ -16,6 +16,7 @@
 from brambleplank.checks import UnfitError
 from brambleplank.fronts.line.clients import Clients
 from brambleplank.fronts.line.ping import Ping
+from brambleplank.host import Address
 from brambleplank.net.buffers import BACKLOG, Listener
 from brambleplank.net.clock import Clock
 from brambleplank.net.descriptors import allow
@@ -114,7 +115,7 @@
         host, number = self.told.peer_listen
         # An upgrade's second process hears beside this one.
         return self.once_free(
-            f"{host}:{number}",
+            (host, number),
             lambda: reactor.listenMulticast(
                 number, self.proxy.peers, interface=host, listenMultiple=bool(self.told.mgmt)
             ),
@@ -132,14 +133,27 @@
             # An upgrade's second process listens beside this one.
             port._reusePort = bool(self.told.mgmt)
         self.proxy.door.listeners.append(port)
-        self.once_free(f"{self.told.listen[0]}:{self.told.listen[1]}", port.startListening)
+        self.once_free(self.told.listen, port.startListening)
         return port
 
-    def once_free(self, what: str, listen: Callable[[], Any]) -> Any:
+    def open_for_operators(self, where: Address, adopted: socket.socket | None) -> Any:
+        """Where operators call."""
+        from brambleplank.fronts.management.calls import MOST_CALLERS, Callers
+
+        factory: Any = Callers(self.proxy)
+        if adopted:
+            port = reactor.adoptStreamPort(adopted.fileno(), socket.AF_INET, factory)
+            adopted.close()
+            return port
+        return self.once_free(
+            where, lambda: reactor.listenTCP(where[1], factory, backlog=MOST_CALLERS, interface=where[0])
+        )
+
+    def once_free(self, where: Address, listen: Callable[[], Any]) -> Any:
         """Listens, and waits for what passes.
 
         A process of this proxy that is still emptying holds the address until it ends, and this machine may
-        have no socket to give for a moment.
+        have no socket to give for a moment. Raises Twisted's CannotListenError.
         """
         until, said = time.monotonic() + FREE_WITHIN, False
         while True:
@@ -148,11 +162,12 @@
             except (error.CannotListenError, OSError) as cannot:
                 failed = cannot.socketError if isinstance(cannot, error.CannotListenError) else cannot
                 if failed.errno not in PASSING or time.monotonic() >= until:
-                    raise
+                    cannot_listen: Any = error.CannotListenError
+                    raise cannot_listen(where[0], where[1], failed) from None
                 if not said:
                     held = failed.errno == errno.EADDRINUSE
                     why = "is in use" if held else f"cannot be opened: {failed.strerror}"
-                    self.proxy.log(f"start: {what} {why}, waiting for it")
+                    self.proxy.log(f"start: {where[0]}:{where[1]} {why}, waiting for it")
                 said = True
             time.sleep(FREE_LOOK)
 
@@ -193,10 +208,7 @@
         if side is None or not side.go_on(taken):
             self.discovery.begin(self.told.known)
         listener = self.let_in(adopt("listen"))
-        operators_socket = adopt("mgmt")
-        operators = self.once_free(
-            f"{mgmt[0]}:{mgmt[1]}", lambda: open_for_operators(self.proxy, mgmt, operators_socket)
-        )
+        operators = self.open_for_operators(mgmt, adopt("mgmt"))
         if side is not None:
             side.sockets["listen"] = self.told.listen, listener.fileno
             side.sockets["mgmt"] = mgmt, operators.fileno
@@ -247,17 +259,6 @@
             proxy.shares.read_again()
 
 
-def open_for_operators(proxy: Proxy, where: tuple[str, int], adopted: socket.socket | None) -> Any:
-    from brambleplank.fronts.management.calls import MOST_CALLERS, Callers
-
-    factory: Any = Callers(proxy)
-    if adopted:
-        port = reactor.adoptStreamPort(adopted.fileno(), socket.AF_INET, factory)
-        adopted.close()
-        return port
-    return reactor.listenTCP(where[1], factory, backlog=MOST_CALLERS, interface=where[0])
-
-
 def main() -> int:
     # Danger: a signal before all is set up would end it, over clients in the kernel's queue from there on.
     early_reload = EarlyReload()
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -288,3 +288,24 @@
     assert first.hear() in ("", "reset")
     assert [program.opening(f"{key:x}").hear() for key in range(20)] == ["UP r1"] * 20
     assert "fault OSError" in program.stop()
+
+
+def test_a_reload_that_finds_an_address_in_use_holds_up_nobody(run: Run) -> None:
+    limits = {**SETTINGS["policy_limits"], "peers": True}
+    taken = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+    taken.bind(("127.0.0.1", 0))
+    here = f"127.0.0.1:{taken.getsockname()[1]}"
+    program = run(
+        told(41, True, s0=Server().dial),
+        peer_listen=here,
+        peers=["127.0.0.1:9", "127.0.0.1:10"],
+        peers_all="127.0.0.1:10",
+        settings={**SETTINGS, "balancers": 2},
+    )
+    assert program.opening().hear() == "UP r1"
+    begun = time.monotonic()
+    program.read_again(settings={**SETTINGS, "balancers": 2, "policy_limits": limits})
+    assert program.opening().hear() == "UP r1"
+    assert time.monotonic() - begun < 2.0
+    program.line("reload: peer_listen")
+    taken.close()
