--- a/brambleplank/platform/run.py
+++ b/brambleplank/platform/run.py
@@ -104,7 +104,7 @@
             return True
         return False
 
-    def hear_peers(self, adopted: socket.socket | None) -> Any:
+    def hear_peers(self, adopted: socket.socket | None, within: float = FREE_WITHIN) -> Any:
         """Where datagrams of other proxies arrive; None where they say nothing."""
         if not self.told.peer_listen:
             return None
@@ -119,6 +119,7 @@
             lambda: reactor.listenMulticast(
                 number, self.proxy.peers, interface=host, listenMultiple=bool(self.told.mgmt)
             ),
+            within,
         )
 
     def let_in(self, adopted: socket.socket | None) -> Any:
@@ -149,13 +150,13 @@
             where, lambda: reactor.listenTCP(where[1], factory, backlog=MOST_CALLERS, interface=where[0])
         )
 
-    def once_free(self, where: Address, listen: Callable[[], Any]) -> Any:
+    def once_free(self, where: Address, listen: Callable[[], Any], within: float = FREE_WITHIN) -> Any:
         """Listens, and waits for what passes.
 
         A process of this proxy that is still emptying holds the address until it ends, and this machine may
         have no socket to give for a moment. Raises Twisted's CannotListenError.
         """
-        until, said = time.monotonic() + FREE_WITHIN, False
+        until, said = time.monotonic() + within, False
         while True:
             try:
                 return listen()
@@ -249,7 +250,7 @@
         before_told, self.told = self.told, told
         if self.let_speak(told):
             try:
-                self.hear_peers(None)
+                self.hear_peers(None, within=0.0)  # a wait would hold up every client
             except error.CannotListenError as cannot:
                 proxy.peers = None
                 proxy.log(f"reload: peer_listen: {cannot.socketError}: proxies say nothing to each other")
