--- a/tests/soak/judge.py
+++ b/tests/soak/judge.py
@@ -110,6 +110,8 @@
             return
         if self.broken(life, request.ended):
             return
+        if any(since <= request.ended <= until + BROKEN_AFTER for since, until in life.crowded):
+            return  # while idle clients fill the descriptors, new connections may be shut unread
         how = "reset" if request.reset else "ended"
         when = f"sent at {request.sent:.3f}, ended at {request.ended:.3f}"
         what = f"{request.flow} {request.service_type} {how} with none, at n{request.proxy}, {when}"
--- a/tests/soak/records.py
+++ b/tests/soak/records.py
@@ -56,6 +56,7 @@
     ended: float = inf
     code: int | None = None
     stopped: list[tuple[float, float]] = field(default_factory=list)  # spans in which it was held up
+    crowded: list[tuple[float, float]] = field(default_factory=list)  # spans in which idle clients fill it
     broken: list[tuple[float, float]] = field(default_factory=list)  # spans in which connections broke
     deaf: list[tuple[float, float]] = field(
         default_factory=list
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -401,6 +401,7 @@
         if proxy is None:
             return
         self.note(f"idle crowd at n{proxy.number}")
+        life, begun = proxy.life, time.monotonic()
         writers = []
         for _ in range(280):
             with suppress(OSError, TimeoutError):
@@ -409,6 +410,7 @@
         await asyncio.sleep(1.0)
         for writer in writers:
             writer.close()
+        life.crowded.append((begun, time.monotonic()))
 
     async def trouble(self) -> None:
         kinds: tuple[Callable[[], Coroutine[Any, Any, None]], ...] = (
