--- a/tests/test_machine_faults.py
+++ b/tests/test_machine_faults.py
@@ -224,3 +224,16 @@
     faults.set(program.process, fail={"recv": (1.0, "ETIMEDOUT")}, times=1)
     client.say("M 1")
     assert "why=ETIMEDOUT" in program.line("end reset")
+
+
+def test_a_start_by_a_clock_that_is_behind_is_no_older_than_the_list_that_lacked_it(run: Run) -> None:
+    program = run(fleet([Server()]))
+    _, watch = program.discovery.watch()
+    for number, behind in (
+        (1, 0.0),
+        (2, HOUR),
+    ):  # the first, by a clock that is right, proves nothing of the next
+        change = told(41 + number, False, **{f"s{number}": Server().dial})
+        change["hosts"][0]["born_ms"] = round((time.time() - behind) * 1000)
+        Discovery.tell(watch, json.dumps(change))
+        assert f"server: s{number} ready, started 0." in program.line(f"server: s{number}")
