Tests print what a process logged, which pytest shows beside a failure

Need: of five listed tests that failed once, nothing was left but an assertion; why a request was rejected stands in the process's log, which went with the process.

Change: at its teardown a test prints all that its processes have written (Program.kept_log); pytest shows it for a failed test only. The pipe is read without waiting, as a sidecar's children may hold it open. No check is changed.

--- a/tests/programs.py
+++ b/tests/programs.py
@@ -150,6 +150,14 @@
         """Waits for its end and returns all that it has written."""
         return "".join(self.log_lines) + self.process.communicate(timeout=TEST_TIMEOUT)[1]
 
+    def kept_log(self) -> str:
+        """Returns all that it has written so far; does not wait, as its children may hold the pipe open."""
+        log = self.process.stderr
+        if log is not None and not log.closed:
+            os.set_blocking(log.fileno(), False)
+            self.log_lines += iter(log.readline, "")
+        return "".join(self.log_lines)
+
     def stop(self) -> str:
         """Ends it by SIGTERM and returns its log."""
         self.process.send_signal(signal.SIGTERM)
@@ -222,3 +230,4 @@
     for program in [each for first in programs for each in (first, *first.successors)]:
         program.process.kill()
         program.process.wait()
+        print(program.kept_log(), end="")  # pytest shows it beside a failure
