Soak: a breach of the drain rule tells how the change was delivered

Need: the judge said 'drain: at s1, 0.007 s after the grace' and nothing else, so no hypothesis (agent, watch, proxy, judge) could be told from another.

Change: each notification keeps what became of it at the agent (sent to how many watches, missed while down, silent since when, told at a return); the judge's line adds the grace, the process and its log, the first and last byte of the OPEN, from when the change counts and by what, and the proxy's own lines on the server and its list. Lines of the proxies' logs begin with the records' monotonic time. No check is changed.

--- a/tests/soak/discovery.py
+++ b/tests/soak/discovery.py
@@ -8,6 +8,7 @@
 import time
 from collections.abc import Iterable
 from contextlib import suppress
+from dataclasses import dataclass
 from math import inf
 from typing import Any
 
@@ -20,6 +21,14 @@
 Entry = dict[str, Any]  # of one server, as discovery writes it
 
 
+@dataclass(frozen=True)
+class Delivery:
+    """From when changes count as known to an agent's proxy, and what became of them at the agent."""
+
+    known_at: float
+    text: str
+
+
 class DiscoveryAgent:
     """The agent of one proxy. While `is_down` it answers nobody and learns nothing."""
 
@@ -111,12 +120,12 @@
         self.sends.add(sending)
         sending.add_done_callback(self.sends.discard)
 
-    def receive_changes(self, entries: Iterable[Entry]) -> float:
-        """Takes up changes and sends them on; returns from when they count as known to its proxy."""
+    def receive_changes(self, entries: Iterable[Entry]) -> Delivery:
+        """Takes up changes and sends them on."""
         now = time.monotonic()
         if self.is_down:
             self.missed_changes += entries
-            return max(now, self.down_until)
+            return Delivery(max(now, self.down_until), f"{now:.3f} missed, down until {self.down_until:.3f}")
         self.version += 1
         changed = list(entries)
         for entry in changed:
@@ -127,7 +136,13 @@
                 with suppress(RuntimeError, OSError):
                     self.send_change(writer, text)
         live = self.open_watches - self.silent_watches
-        return now if live or not self.open_watches else self.silent_since + SILENCE_KNOWN_AFTER
+        in_pieces = " in pieces" if self.sends_pieces else ""
+        text = f"{now:.3f} sent{in_pieces} to {len(live)} of {len(self.open_watches)} watches"
+        if live or not self.open_watches:
+            return Delivery(now, text)
+        return Delivery(
+            self.silent_since + SILENCE_KNOWN_AFTER, f"{text}, silent since {self.silent_since:.3f}"
+        )
 
     def silence_watches(self) -> None:
         """All open watches fall silent, and stay open."""
--- a/tests/soak/judge.py
+++ b/tests/soak/judge.py
@@ -10,7 +10,7 @@
 from pathlib import Path
 from typing import Any
 
-from tests.soak.records import Attempt, ClientRecord, ProcessRun, Records
+from tests.soak.records import Attempt, ClientRecord, NotifiedChange, ProcessRun, Records
 
 SLACK = 0.05  # seconds that each time limit is longer on sockets
 LOST_AFTER = 0.5  # seconds after its time from which an answer counts as lost
@@ -217,8 +217,21 @@
                 since = self.counts_as_notified_at(self.process_of(client), change.notified_at)
                 late = attempt.began_at - since - grace - SLACK - self.own_lag(since, attempt.began_at)
                 if late > 0:
-                    details = f"{attempt.request_id} at {attempt.server}, {late:.3f} s after the grace"
-                    self.report("drain", details)
+                    self.report("drain", self.drain_details(attempt, change, since, late))
+
+    def drain_details(self, attempt: Attempt, change: NotifiedChange, since: float, late: float) -> str:
+        """Returns what the agent, the server and the proxy noted of an attempt that came too late."""
+        process = self.process_of(self.clients[attempt.request_id])
+        grace = self.settings["rules"]["stop_sending_within_us"] / MICRO
+        parts = [
+            f"{attempt.request_id} at {attempt.server}, {late:.3f} s after the grace of {grace} s",
+            f"n{process.proxy} started {process.started_at:.3f}, {process.log_path}",
+            f"OPEN {attempt.began_at:.3f} to {attempt.received_at:.3f}",
+            f"counts from {since:.3f}: {change.delivery}",
+            "its log:",
+            *log_lines_about(process, f"server: {attempt.server} ", "list: ", "reload: "),
+        ]
+        return "\n        ".join(parts)
 
     @staticmethod
     def counts_as_notified_at(process: ProcessRun, at: float) -> float:
@@ -288,6 +301,12 @@
             self.report("descriptors", details)
 
 
+def log_lines_about(process: ProcessRun, *texts: str) -> list[str]:
+    """Returns the lines of a process's log that hold any of the texts."""
+    log = Path(process.log_path).read_text(errors="replace")
+    return [line for line in log.splitlines() if any(text in line for text in texts)]
+
+
 def numbered(processes: list[ProcessRun]) -> dict[tuple[int, int], ProcessRun]:
     """Returns each process by its proxy and how many of that proxy were started before it."""
     found: dict[tuple[int, int], ProcessRun] = {}
--- a/tests/soak/machine_troubles.py
+++ b/tests/soak/machine_troubles.py
@@ -6,7 +6,7 @@
 import time
 from math import inf
 
-from tests.soak.discovery import DiscoveryAgent
+from tests.soak.discovery import Delivery, DiscoveryAgent
 from tests.soak.proxies import READS_SIGNALS_AFTER
 from tests.soak.proxy_troubles import names_of
 from tests.soak.simulation import Simulation
@@ -51,7 +51,10 @@
             await asyncio.sleep(DISCOVERY_DOWN)
             for agent in some:
                 missed = agent.come_back()
-                self.simulation.note_notifications(agent, missed, time.monotonic())
+                now = time.monotonic()
+                self.simulation.note_notifications(
+                    agent, missed, Delivery(now, f"{now:.3f} told at the return")
+                )
 
     def take_down(self, agent: DiscoveryAgent) -> None:
         """An agent is down; what it has sent to no open watch counts as known only once it is back."""
@@ -59,6 +62,7 @@
         for change in self.simulation.records.notifications:
             if change.proxy == agent.proxy and change.notified_at >= agent.unwatched_since:
                 change.notified_at = max(change.notified_at, agent.down_until)
+                change.delivery += f", sent to no open watch, down until {agent.down_until:.3f}"
 
     async def fail_system_calls(self) -> None:
         """A system call fails now and then at some proxies, and reads and writes come short."""
--- a/tests/soak/proxies.py
+++ b/tests/soak/proxies.py
@@ -14,9 +14,15 @@
 from typing import Any
 
 from tests.faults import Faults
+from tests.overrides import override
 from tests.soak.discovery import DiscoveryAgent
 from tests.soak.records import ProcessRun, Records, Span
 
+# Each line of a log begins with the time of the records, whatever the wall clock says.
+MONOTONIC_LOG = override(
+    "brambleplank.net.log:LogWriter.print_line",
+    "staticmethod(lambda line: print(f'{time.monotonic():.3f} {line}', file=sys.stderr, flush=True))",
+)
 CODE = "{patch}\nimport runpy\nrunpy.run_module('brambleplank', run_name='__main__')"
 # As `run` in the deploy file: in Python's first instants SIGHUP would end the process.
 SHELL_COMMAND = "trap '' HUP; exec \"$@\""
@@ -85,7 +91,8 @@
         run = ProcessRun(self.number, time.monotonic(), log_path=str(log_path))
         run.descriptor_limit = self.config["limits"]["sockets"]
         with log_path.open("wb") as log:
-            code = CODE.format(patch=f"{self.faults.patch}\n{self.patch}")
+            patches = ("import sys, time", MONOTONIC_LOG, self.faults.patch, self.patch)
+            code = CODE.format(patch="\n".join(patches))
             command = ["/bin/sh", "-c", SHELL_COMMAND, "sh", sys.executable, "-B", "-c", code]
             self.process = subprocess.Popen(command, env=environment, stderr=log)
         if "recv" in self.fault_plan.get("fail", {}):
--- a/tests/soak/records.py
+++ b/tests/soak/records.py
@@ -91,11 +91,12 @@
 
 @dataclass
 class NotifiedChange:
-    """When a proxy counts as notified that a server is no longer ready."""
+    """When a proxy counts as notified that a server is no longer ready, and why then."""
 
     proxy: int
     server: str
     notified_at: float
+    delivery: str  # what became of the change at the proxy's agent
 
 
 @dataclass
--- a/tests/soak/simulation.py
+++ b/tests/soak/simulation.py
@@ -17,7 +17,7 @@
 
 from tests.relay import DatagramRelay
 from tests.soak.clients import Client
-from tests.soak.discovery import DiscoveryAgent, Entry, entries_of
+from tests.soak.discovery import Delivery, DiscoveryAgent, Entry, entries_of
 from tests.soak.drawn_settings import draw_settings
 from tests.soak.proxies import Proxy
 from tests.soak.records import ClientRecord, Misbehaviour, NotifiedChange, Records
@@ -204,13 +204,14 @@
 
     def notify(self, agent: DiscoveryAgent, entries: list[Entry]) -> None:
         """Gives changes to an agent and notes from when they count as known."""
-        at = agent.receive_changes(entries)
-        self.note_notifications(agent, entries, at)
+        self.note_notifications(agent, entries, agent.receive_changes(entries))
 
-    def note_notifications(self, agent: DiscoveryAgent, entries: list[Entry], at: float) -> None:
+    def note_notifications(self, agent: DiscoveryAgent, entries: list[Entry], delivery: Delivery) -> None:
         """Notes from when a proxy counts as notified of servers that are not ready."""
         self.records.notifications += [
-            NotifiedChange(agent.proxy, entry["host"], at) for entry in entries if entry["health"] != "ready"
+            NotifiedChange(agent.proxy, entry["host"], delivery.known_at, delivery.text)
+            for entry in entries
+            if entry["health"] != "ready"
         ]
 
     def note_trouble(self, text: str) -> None:
