Fault: a list request that is never answered is waited for past a short drain grace

Cause: Discovery had one request out at a time. One that was made while discovery was down is never answered; it was given up after 0.4 s, and the next was made 0.1 s later. What discovery has at its return counts as received at once, so for up to 0.5 s the proxy knew nothing of a drain.

Change: where a third of the drain grace is shorter than the 0.4 s, another request is made beside the one that is out, at most every 0.1 s, so at most four; the first that is answered is the watch, the others are given up. A failure is reported once in a row, as before. With graces of 1.2 s and more nothing changes.

Test: request_that_a_returning_agent_does_not_answer_is_repeated_beside_it; on it fails ('assert not unanswered[-1].is_closed()': the next request came only after the one before had been given up).

--- a/brambleplank/discovery/platform/discovery.py
+++ b/brambleplank/discovery/platform/discovery.py
@@ -5,6 +5,9 @@
 request is refused or given up (0.4), one is answered by a list that drips (0.4 to its first byte, 0.8 for
 the whole), another is given up (0.4); with a pause of 0.1 s before each, the fourth request is made 5.4 s
 after the change. `docs/design/races.md` has the timeline.
+
+What discovery has at its return counts as received at once. A request that was made just before is never
+answered; where the drain grace is short, another one is made beside it before it is given up.
 """
 
 from __future__ import annotations
@@ -30,6 +33,7 @@
 CATCH_UP_TIME = 2.5  # seconds in which discovery at a new address may still be behind what is held
 RETRY_DELAY = 0.1  # seconds between two requests; the agent is on this machine, and answers at no cost
 RESPONSE_TIMEOUT = 0.4  # seconds from a request to a list's first byte, which comes at once or not at all
+HEDGE_SHARE = 1 / 3  # of the drain grace; the rest is left for the answer, and for a stall of this process
 LIST_TIMEOUT = 0.8  # seconds from there to the whole list, and more as its bytes come
 MIN_TRANSFER_RATE = 1024 * 1024  # bytes a second of a list that comes from this machine
 LINE_TIMEOUT = 3.0  # seconds without a whole line, where an empty one comes every 2 s
@@ -166,6 +170,26 @@
         return request
 
 
+class WatchRequest:
+    """A request for a watch that is out."""
+
+    def __init__(self, asked_at: float, response: defer.Deferred[Any], timer: CallAfterReads) -> None:
+        """`timer` gives it up."""
+        self.asked_at = asked_at
+        self.response = response
+        self._timer = timer
+
+    def cancel(self) -> None:
+        """Gives it up."""
+        self.stop_timer()
+        self.response.cancel()
+
+    def stop_timer(self) -> None:
+        """It has ended in time."""
+        if self._timer.active():
+            self._timer.cancel()
+
+
 class OutdatedList:
     """A list that is older than the one held, and the changes to it since."""
 
@@ -200,9 +224,9 @@
         self.newest = 0  # version of what was applied, wherever it came from
         self.outdated: OutdatedList | None = None  # waits until it is as new as what is held
         self.moved_at = -inf
-        self.asked_at = -inf
+        self.asked_at = -inf  # when the request was made that the newest watch answers
         self.failing = False  # whether that was reported, and no list has come since
-        self.request: defer.Deferred[Any] | None = None
+        self.requests: list[WatchRequest] = []  # that are out, oldest first
         self.watch: Watch | None = None
 
     @property
@@ -223,11 +247,15 @@
         self.ensure_watching()
 
     def stop(self) -> None:
-        """Ends the watch, or the request for one."""
+        """Ends the watch, or the requests for one."""
         self.close_watch()
-        request = self.request
-        self.request = None
-        if request:
+        self.cancel_requests()
+
+    def cancel_requests(self) -> None:
+        """Gives up all requests for a watch."""
+        requests = self.requests
+        self.requests = []
+        for request in requests:
             request.cancel()
 
     def close_watch(self) -> None:
@@ -255,57 +283,68 @@
 
     def ensure_watching(self) -> None:
         """Asks for a watch, unless there is one or a request for it."""
-        if self.request or self.watch:
-            return
-        self.asked_at = self.proxy.clock.now()
-        request = self.service.request_watch(self.version)
-        self.request = request
-        timer = self.proxy.clock.call_after_reads(RESPONSE_TIMEOUT, self.cancel_overdue, request)
-        request.addBoth(self.stop_request_timer, timer)
-        request.addCallbacks(
+        if not self.requests and not self.watch:
+            self.send_request()
+
+    def send_request(self) -> None:
+        """Asks for a watch, whether or not another request is out."""
+        clock = self.proxy.clock
+        response = self.service.request_watch(self.version)
+        timer = clock.call_after_reads(RESPONSE_TIMEOUT, response.cancel)
+        request = WatchRequest(clock.now(), response, timer)
+        self.requests.append(request)
+        hedge_after = max(RETRY_DELAY, HEDGE_SHARE * self.proxy.settings.drain_grace)
+        if hedge_after < RESPONSE_TIMEOUT:
+            clock.call_later(hedge_after, self.hedge, request)
+        response.addCallbacks(
             self.response_received, self.request_failed, callbackArgs=(request,), errbackArgs=(request,)
         )
 
-    def cancel_overdue(self, request: defer.Deferred[Any]) -> None:
-        """Gives up a request that was not answered in time."""
-        if request is self.request:
-            request.cancel()
-
-    @staticmethod
-    def stop_request_timer(result: Any, timer: CallAfterReads) -> Any:
-        """A request has ended in time; passes its result on."""
-        if timer.active():
-            timer.cancel()
-        return result
+    def hedge(self, request: WatchRequest) -> None:
+        """Asks once more beside a request that discovery may never answer, as it was down."""
+        if request in self.requests:
+            self.send_request()
 
-    def response_received(self, response: Any, request: defer.Deferred[Any]) -> None:
+    def response_received(self, response: Any, request: WatchRequest) -> None:
         """Opens the watch, or asks again if there is none."""
-        if request is not self.request:
+        request.stop_timer()
+        if request not in self.requests:
             response.deliverBody(DiscardedBody())
             return
         if response.code != HTTP_OK:
             response.deliverBody(DiscardedBody())
             self.request_failed(f"status {response.code}", request)
             return
-        self.request = None
+        self.requests.remove(request)
+        self.cancel_requests()
+        self.asked_at = request.asked_at
         self.watch = Watch(self)
         response.deliverBody(self.watch)
 
-    def request_failed(self, reason: Failure | str, request: defer.Deferred[Any]) -> None:
-        """Asks again, unless the request was cancelled or went to where discovery no longer is."""
-        if request is not self.request:
+    def request_failed(self, reason: Failure | str, request: WatchRequest) -> None:
+        """Asks again, unless another request is out, or this one was cancelled."""
+        request.stop_timer()
+        if request not in self.requests:
             return
-        self.request = None
-        self.retry(reason if isinstance(reason, str) else type(reason.value).__name__)
+        self.requests.remove(request)
+        why = reason if isinstance(reason, str) else type(reason.value).__name__
+        if self.requests:
+            self.report_failure(why)
+        else:
+            self.retry(why)
 
     def retry(self, reason: str) -> None:
-        """Asks again soon, and reports the first of failures in a row.
+        """Asks again soon.
 
         What the agent has counts as received, and so does soon what a silent watch misses. So the pause
         between two requests that spares a fleet's one service is not waited out here.
         """
         # First of all: an exception below would end the following.
         self.proxy.clock.call_later(RETRY_DELAY, self.ensure_watching)
+        self.report_failure(reason)
+
+    def report_failure(self, reason: str) -> None:
+        """Reports the first of failures in a row."""
         if not self.failing and not self.is_catching_up():
             self.failing = True
             self.proxy.endpoint_list_failed(reason)
--- a/tests/test_list_told.py
+++ b/tests/test_list_told.py
@@ -14,7 +14,7 @@
 from brambleplank.discovery.platform import discovery as source
 from tests.overrides import override
 from tests.programs import Program
-from tests.sample_settings import endpoint_list
+from tests.sample_settings import PLATFORM_SETTINGS, endpoint_list
 from tests.stand_ins import LineConnection, StandInDiscovery, StandInServer
 from tests.test_sockets import StartProgram, fleet
 
@@ -72,6 +72,25 @@
     assert time.monotonic() < drained + COUNTS_AFTER
 
 
+def test_request_that_a_returning_agent_does_not_answer_is_repeated_beside_it(
+    start_program: StartProgram,
+) -> None:
+    # Guards against attempts after a short drain grace: the list was asked for again only once a request
+    # from before the return of discovery had been given up.
+    one, other = StandInServer(), StandInServer("UP r2")
+    rules = {**PLATFORM_SETTINGS["rules"], "stop_sending_within_us": 300_000}
+    program = start_program(fleet(one, other), settings={**PLATFORM_SETTINGS, "rules": rules})
+    unanswered = [program.discovery.requests.get(timeout=15)[1] for _ in range(3)]
+    _, watch = program.discovery.accept_watch()
+    assert not unanswered[-1].is_closed()
+    StandInDiscovery.send_text(watch, json.dumps(endpoint_list(42, False, s0=(one.address, "draining"))))
+    assert unanswered[-1].is_closed(within=15)
+    while program.open_request("ab").read_line() != "UP r2":
+        pass
+    assert {program.open_request(key).read_line() for key in "abcdef"} == {"UP r2"}
+    assert program.stop().count("list: ") <= 1
+
+
 def turned(
     start_program: StartProgram, *servers: StandInServer
 ) -> tuple[Program, StandInDiscovery, LineConnection]:
