Fault of the harness: SIGUSR1 ends a process that starts, or leaves an old fault plan

No caller: it is the soak's own signal.

Cause: SIGUSR1 is how the soak has a proxy read what fails from now on. It was sent from 1.0 s after the start on; beside load Python has not set its handler by then, and the signal's default ends the process. And a signal amid the reading of a plan ran the same code again: the inner call took the temporary file away, and the outer one put the older plan in force.

Change: the signal is ignored from before the exec on; install() sets its handler first and reads then, and blocks the signal while it reads, so that the last plan is the one in force. With that a signal may come at any time, and the waiting for a process's first second goes.

--- a/tests/faults.py
+++ b/tests/faults.py
@@ -96,21 +96,35 @@
         return super().recv_into(buffer, plan.length(size or len(buffer)), flags)
 
 
+def read_plan(path: str) -> None:
+    """Puts the plan in that file in force, and acknowledges its number."""
+    global plan
+    with Path(path).open(encoding="utf-8") as file:
+        fields = json.load(file)
+    plan = FaultPlan(fields)
+    acknowledged = f"{path}.{os.getpid()}"
+    with Path(f"{acknowledged}.new").open("w", encoding="utf-8") as file:
+        file.write(str(fields["number"]))
+    Path(f"{acknowledged}.new").replace(acknowledged)
+
+
+def ignore_plan_signals() -> None:
+    """Keeps a new process from being ended by SIGUSR1 before `install`; to be called ahead of its exec."""
+    signal.signal(signal.SIGUSR1, signal.SIG_IGN)
+
+
 def install(path: str) -> None:
     """Subjects this process to the plan in that file, now and at each SIGUSR1."""
 
     def read(*_: Any) -> None:
-        global plan
-        with Path(path).open(encoding="utf-8") as file:
-            fields = json.load(file)
-        plan = FaultPlan(fields)
-        acknowledged = f"{path}.{os.getpid()}"
-        with Path(f"{acknowledged}.new").open("w", encoding="utf-8") as file:
-            file.write(str(fields["number"]))
-        Path(f"{acknowledged}.new").replace(acknowledged)
+        # Interrupted by the next signal, this would put the older plan in force over the newer one.
+        signal.pthread_sigmask(signal.SIG_BLOCK, [signal.SIGUSR1])
+        read_plan(path)
+        signal.pthread_sigmask(signal.SIG_UNBLOCK, [signal.SIGUSR1])
 
-    read()
+    # First of all: a signal between the reading and this would leave an old plan in force.
     signal.signal(signal.SIGUSR1, read)
+    read()
     time.time = lambda: real_time() + plan.wall_step
     socket.socket = FaultySocket  # type: ignore[misc]
 
--- a/tests/soak/machine_troubles.py
+++ b/tests/soak/machine_troubles.py
@@ -7,7 +7,6 @@
 from math import inf
 
 from tests.soak.discovery import Delivery, DiscoveryAgent
-from tests.soak.proxies import READS_SIGNALS_AFTER
 from tests.soak.proxy_troubles import names_of
 from tests.soak.simulation import Simulation
 
@@ -78,11 +77,6 @@
                 proxy.inject_faults(**{**proxy.fault_plan, **plan})
         await asyncio.sleep(self.rng.uniform(0.3, 2.0))
         for proxy in some:
-            while (
-                proxy.current_run.ready_at == inf
-                and time.monotonic() < proxy.current_run.started_at + READS_SIGNALS_AFTER
-            ):
-                await asyncio.sleep(0.1)
             proxy.inject_faults(wall=proxy.fault_plan.get("wall", 0.0))
 
     async def step_clock(self) -> None:
--- a/tests/soak/proxies.py
+++ b/tests/soak/proxies.py
@@ -13,7 +13,7 @@
 from pathlib import Path
 from typing import Any
 
-from tests.faults import Faults
+from tests.faults import Faults, ignore_plan_signals
 from tests.overrides import override
 from tests.soak.discovery import DiscoveryAgent
 from tests.soak.records import ProcessRun, Records, Span
@@ -26,7 +26,6 @@
 CODE = "{patch}\nimport runpy\nrunpy.run_module('brambleplank', run_name='__main__')"
 # As `run` in the deploy file: in Python's first instants SIGHUP would end the process.
 SHELL_COMMAND = "trap '' HUP; exec \"$@\""
-READS_SIGNALS_AFTER = 1.0  # seconds after the start of a process in which it may not read its faults yet
 ROTATION_DELAY = 0.3  # seconds after SIGTERM in which clients still come
 
 
@@ -94,7 +93,9 @@
             patches = ("import sys, time", MONOTONIC_LOG, self.faults.patch, self.patch)
             code = CODE.format(patch="\n".join(patches))
             command = ["/bin/sh", "-c", SHELL_COMMAND, "sh", sys.executable, "-B", "-c", code]
-            self.process = subprocess.Popen(command, env=environment, stderr=log)
+            self.process = subprocess.Popen(
+                command, env=environment, stderr=log, preexec_fn=ignore_plan_signals
+            )
         if "recv" in self.fault_plan.get("fail", {}):
             run.reset_spans.append((run.started_at, inf))
         self.runs.append(run)
@@ -139,9 +140,7 @@
             run.reset_spans.append((time.monotonic(), inf))
         else:
             end_last(run.reset_spans)
-        # One that has just been started reads the file by itself, and may not take the signal yet.
-        if run.ready_at < inf or time.monotonic() > run.started_at + READS_SIGNALS_AFTER:
-            self.send_signal(signal.SIGUSR1)
+        self.send_signal(signal.SIGUSR1)
 
     def upgrade(self) -> None:
         """Starts the next process beside this one, which goes on until `signal_predecessors`."""
--- /dev/null
+++ b/tests/test_fault_plans.py
@@ -0,0 +1,33 @@
+"""The harness that makes a process's system calls fail: its plans arrive, whenever its signals come."""
+
+from __future__ import annotations
+
+import signal
+import subprocess
+import sys
+import time
+from pathlib import Path
+
+from tests.faults import Faults, ignore_plan_signals
+from tests.waiting import TEST_TIMEOUT, wait_until
+
+PLANS = 200
+IDLE = "import time\nwhile True:\n    time.sleep(0.001)"
+
+
+def test_plans_in_quick_series_from_the_first_instant_on_end_at_the_last(tmp_path: Path) -> None:
+    # Guards against a soak whose proxy is ended by SIGUSR1, or goes on by a plan that was replaced.
+    faults = Faults(tmp_path)
+    command = [sys.executable, "-c", f"{faults.patch}\n{IDLE}"]
+    process = subprocess.Popen(command, stderr=subprocess.PIPE, text=True, preexec_fn=ignore_plan_signals)
+    acknowledged = tmp_path / f"faults.json.{process.pid}"
+    try:
+        until = time.monotonic() + TEST_TIMEOUT
+        while faults.number < PLANS or (not acknowledged.exists() and time.monotonic() < until):
+            faults.write({"wall": float(faults.number)})
+            process.send_signal(signal.SIGUSR1)
+        wait_until(lambda: process.poll() is not None or acknowledged.read_text() == str(faults.number))
+        assert process.poll() is None
+    finally:
+        process.kill()
+        assert process.communicate(timeout=TEST_TIMEOUT)[1] == ""
