Fault of the harness: the soak's spans of failing connects and reads may never end

The judge excuses a drain while a process can call nobody, and an end while its reads fail.

Cause: inject_faults appended a span each time a plan was set, and ended the newest one alone. A wall clock stepped while connects failed left an older span open, and from then on each drain of that process was excused. A process started under such a plan had no span at all, and was blamed for what it could not know.

Change: a span begins, goes on or ends by whether the plan in force lasts; at a start as well.

Test: test_span_of_failing_connects_ends_though_the_plan_was_changed_meanwhile; it failed before (two spans, the older one without an end). The judge becomes stricter by it.

--- a/tests/soak/proxies.py
+++ b/tests/soak/proxies.py
@@ -96,9 +96,8 @@
             self.process = subprocess.Popen(
                 command, env=environment, stderr=log, preexec_fn=ignore_plan_signals
             )
-        if "recv" in self.fault_plan.get("fail", {}):
-            run.reset_spans.append((run.started_at, inf))
         self.runs.append(run)
+        self.note_fault_spans(run.started_at)
         self.records.processes.append(run)
         self.is_in_rotation = False
         self.leaves_rotation_at = inf
@@ -130,18 +129,17 @@
         run = self.current_run
         if run.stop_requested_at < inf:
             return  # at its end Python gives SIGUSR1 its default action back: it goes on by the old plan
-        failing = plan.get("fail", {})
-        shares = [share for call, (share, _) in failing.items() if call in ("socket", "connect")]
-        if 1.0 in shares:
-            run.unreachable_spans.append((time.monotonic(), inf))
-        else:
-            end_last(run.unreachable_spans)
-        if "recv" in failing:
-            run.reset_spans.append((time.monotonic(), inf))
-        else:
-            end_last(run.reset_spans)
+        self.note_fault_spans(time.monotonic())
         self.send_signal(signal.SIGUSR1)
 
+    def note_fault_spans(self, now: float) -> None:
+        """Notes that the newest process is under the fault plan from now on."""
+        failing = self.fault_plan.get("fail", {})
+        shares = [share for call, (share, _) in failing.items() if call in ("socket", "connect")]
+        run = self.current_run
+        note_span(run.unreachable_spans, now, lasts=1.0 in shares)
+        note_span(run.reset_spans, now, lasts="recv" in failing)
+
     def upgrade(self) -> None:
         """Starts the next process beside this one, which goes on until `signal_predecessors`."""
         assert self.process is not None
@@ -175,11 +173,13 @@
             self.current_run.most_descriptors = max(self.current_run.most_descriptors, held)
 
 
-def end_last(spans: list[Span]) -> None:
-    """Ends the newest span now, unless it has ended."""
-    if spans:
-        since, until = spans[-1]
-        spans[-1] = (since, min(until, time.monotonic()))
+def note_span(spans: list[Span], now: float, lasts: bool) -> None:
+    """Begins a span, goes on with the one that lasts, or ends it."""
+    is_open = bool(spans) and spans[-1][1] == inf
+    if lasts and not is_open:
+        spans.append((now, inf))
+    elif is_open and not lasts:
+        spans[-1] = (spans[-1][0], now)
 
 
 def note_end(process: subprocess.Popen[bytes], run: ProcessRun) -> bool:
