Fault: a member of a fleet that is not answered for an hour never asks for leases again

Callers saw: nothing yet; read in the code, now played. A process whose requests do not reach the leader, while it hears the leader, had its reserves alone until it was restarted, however soon the link was whole again.

Cause: LeaseClient raised 1.5 to the number of unanswered requests. From 1,751 on that is an OverflowError, in is_due and in retry_wait; Member.take_turn calls retry_wait each turn, so nothing behind it ran any more (requests, reports, the check of invariants).

Evidence: a link cut one way, in virtual time: OverflowError in take_turn after 57 minutes, 1,752 unanswered. With both ways cut there is no leader to ask, and nothing is counted.

Change: exponential_backoff (brambleplank/backoff.py) multiplies up to the longest wait and stops there; both waits end at two heartbeats. The early retry after a refused unit had no longest wait of its own; the regular request comes after two heartbeats at the latest, so none is asked later by it.

Test: member_whose_requests_were_lost_for_two_hours_gets_leases_again; before: OverflowError at client.py:75. test_fleet and test_elections: 59 passed on three workers.

--- a/brambleplank/fleet/leases/client.py
+++ b/brambleplank/fleet/leases/client.py
@@ -6,6 +6,7 @@
 from random import Random
 from typing import Protocol
 
+from brambleplank.backoff import exponential_backoff
 from brambleplank.fleet.leases.account import Account
 from brambleplank.fleet.leases.leader_election import LeaderElection
 from brambleplank.fleet.leases.timing import HEARTBEAT_INTERVAL, LEASE_DURATION
@@ -13,6 +14,7 @@
 
 EARLY_RETRY = 0.25  # seconds between two requests, where a unit was refused for lack of a lease
 BACKOFF = 1.5  # factor from one wait to the next while no answer comes
+MAX_RETRY_WAIT = 2 * HEARTBEAT_INTERVAL  # seconds
 MS = 1000  # in a second
 
 
@@ -65,15 +67,18 @@
         """Returns whether to send a request now."""
         if now >= self.due_at:
             return True
-        return self.unit_refused and now >= self.requested_at + EARLY_RETRY * BACKOFF**self.unanswered
+        if not self.unit_refused:
+            return False
+        wait = exponential_backoff(EARLY_RETRY, BACKOFF, self.unanswered, MAX_RETRY_WAIT)
+        return now >= self.requested_at + wait
 
     def retry_wait(self) -> float:
         """Returns the seconds to the next request. A leader without answer is asked less and less often."""
         if not self.unanswered:
             return HEARTBEAT_INTERVAL
         # A candidate answers nothing yet; asked less and less, it would miss its majority on lossy links.
-        growth = BACKOFF ** (self.unanswered - 1) if self.election.followed.is_elected else 1.0
-        return min(2 * HEARTBEAT_INTERVAL, HEARTBEAT_INTERVAL / 2 * growth)
+        steps = self.unanswered - 1 if self.election.followed.is_elected else 0
+        return exponential_backoff(HEARTBEAT_INTERVAL / 2, BACKOFF, steps, MAX_RETRY_WAIT)
 
     def schedule_retry(self, now: float, wait: float) -> None:
         """Makes the next request due after about so many seconds."""
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -250,6 +250,25 @@
     assert str(fleet_of.coverage(simulation.clock(leader))).startswith("5 of 5 heard")
 
 
+def test_member_whose_requests_were_lost_for_two_hours_gets_leases_again() -> None:
+    # Guards against a member that takes no turn any more after an hour of requests without an answer.
+    simulation = FleetSimulation(3, [Budget("count", 30, 0.0, 3, 0.1)], 1, check=False)
+    simulation.run(30)
+    leader = simulation.leader()
+    assert leader is not None
+    member = simulation.nodes[(leader.number + 1) % 3]
+    assert member.fleet is not None
+    simulation.links.cut.add((member.number, leader.number))  # the leader is heard, and hears nothing
+    for _ in range(120):
+        simulation.run(60)
+        for _ in range(20):
+            simulation.take(member, "count")
+    assert not member.fleet.has_lease(simulation.clock(member))
+    simulation.links.cut.clear()
+    simulation.run(10)
+    assert member.fleet.has_lease(simulation.clock(member))
+
+
 def test_deaf_leader_is_replaced_and_stays_replaced() -> None:
     for seed in range(8):
         simulation = FleetSimulation(5, [], seed)
