Fault: a service of Consul is followed no more once its agents were away for an hour

Callers would see: requests sent to servers that were drained or removed since, at every sidecar that was up during the outage, until each is restarted.

The pause after failed queries was a power of two by their number; from 1,025 failures in a row on (about 64 minutes, 3.75 s each in the mean) that is an OverflowError, raised in request_failed, and once more in exception_raised, which is the last to ask again.

Change: exponential_backoff, which stops at the longest pause (5 s).

Test: service_is_asked_for_again_after_hours_without_an_answer, 5,000 failures in a row; before: OverflowError in backoff().

--- a/brambleplank/discovery/consul/source.py
+++ b/brambleplank/discovery/consul/source.py
@@ -16,6 +16,7 @@
 from twisted.web.http_headers import Headers
 
 from brambleplank import addresses
+from brambleplank.backoff import exponential_backoff
 from brambleplank.discovery.consul import answers
 from brambleplank.discovery.consul.health import Answer, Catalogue, Change, HealthSettings
 from brambleplank.model import Address
@@ -223,7 +224,7 @@
 
 def backoff(attempts: int) -> float:
     """Seconds to pause after so many in a row."""
-    return min(MAX_PAUSE, MIN_PAUSE * 2.0 ** (attempts - 1))
+    return exponential_backoff(MIN_PAUSE, 2.0, attempts - 1, MAX_PAUSE)
 
 
 class ConsulSource:
--- a/tests/test_consul_health.py
+++ b/tests/test_consul_health.py
@@ -4,6 +4,7 @@
 
 import json
 from dataclasses import replace
+from types import SimpleNamespace
 from typing import Any
 
 from hypothesis import given, settings
@@ -11,6 +12,7 @@
 
 from brambleplank.discovery.consul import answers
 from brambleplank.discovery.consul.health import Answer, Catalogue, HealthSettings, HealthStatus, Instance
+from brambleplank.discovery.consul.source import MAX_PAUSE, ServiceWatch
 from brambleplank.emulator.consul import Member
 from brambleplank.model import EndpointStatus
 
@@ -257,3 +259,17 @@
         answers.AnswerDecoder(answers.MetadataKeys()).decode(body[:at] + put + body[at + len(put) :])
     except answers.GarbledAnswerError as error:
         assert str(error)
+
+
+def test_service_is_asked_for_again_after_hours_without_an_answer() -> None:
+    # Guards against a service that is followed no more once its agents were away for an hour.
+    pauses: list[float] = []
+    follower: Any = SimpleNamespace(
+        settings=SimpleNamespace(agents=[("127.0.0.1", 8500)], keys=answers.MetadataKeys()),
+        log=lambda _: None,
+        later=lambda pause, _: pauses.append(pause),
+    )
+    watch = ServiceWatch(follower, "feeds")
+    for _ in range(5000):
+        watch.failed("ConnectionRefusedError")
+    assert len(pauses) == 5000 and max(pauses) <= MAX_PAUSE
