Fault: no status for a server of Consul that has flapped a thousand times

Callers would see: a change of that server, or of others in the same turn, not applied.

Cause: the time for which passing has to last doubles with each flap, as a power of two; from 1,025 flaps on, each within a minute of the one before, that is an OverflowError.

Change: exponential_backoff, which stops at the longest recovery time.

Test: server_that_flaps_for_hours_is_ready_again_after_the_longest_recovery_time (1,100 flaps in virtual time); before: OverflowError in healthy_status.

--- a/brambleplank/discovery/consul/health.py
+++ b/brambleplank/discovery/consul/health.py
@@ -19,6 +19,7 @@
 from enum import Enum
 from math import inf
 
+from brambleplank.backoff import exponential_backoff
 from brambleplank.model import Address, Endpoint, EndpointStatus
 
 MIN_GROUP_SIZE = 3  # servers; of fewer, one says nothing about the others
@@ -349,8 +350,9 @@
         is_drained = record.status is EndpointStatus.DRAINING
         if not is_drained or health.previous is HealthStatus.MAINTENANCE or not record.flaps:
             return EndpointStatus.READY, now
-        recovery_time = self.figures.steady * 2.0 ** (record.flaps - 1)
-        ready_at = health.since + min(self.figures.steadiest, recovery_time)
+        figures = self.figures
+        recovery_time = exponential_backoff(figures.steady, 2.0, record.flaps - 1, figures.steadiest)
+        ready_at = health.since + recovery_time
         return (EndpointStatus.READY, now) if now >= ready_at else (EndpointStatus.DRAINING, ready_at)
 
     def absent_status(self, now: float, record: ServerRecord) -> tuple[EndpointStatus, float]:
--- a/tests/test_consul_health.py
+++ b/tests/test_consul_health.py
@@ -62,6 +62,11 @@
             self.state[name] = condition
             self.log.append((round(self.now - 100.0, 1), name, condition))
 
+    def wait_once(self, seconds: float) -> None:
+        """As `wait`, in one step."""
+        self.now += seconds
+        self.tick()
+
     def wait(self, seconds: float) -> list[tuple[float, str, EndpointStatus]]:
         for _ in range(round(seconds * 10)):
             self.now = round(self.now + 0.1, 3)
@@ -273,3 +278,14 @@
     for _ in range(5000):
         watch.failed("ConnectionRefusedError")
     assert len(pauses) == 5000 and max(pauses) <= MAX_PAUSE
+
+
+def test_server_that_flaps_for_hours_is_ready_again_after_the_longest_recovery_time() -> None:
+    # Guards against an exception in place of a status, once a server has flapped a thousand times.
+    story = Story()
+    for _ in range(1100):
+        story.tell(s0=ILL)
+        story.wait_once(20.0)
+        story.tell(s0=GOOD)
+        story.wait_once(31.0)
+    assert story.state["s0"] is READY
