Fault of the harness: a silent watch that its proxy has ended counts as open

Cause: the agent writes nothing on a silent watch, and so never saw its end; it stood among the open ones until a reset. A change made while it was the only one counted from its silence plus 6 s, be that before the change.

Change: the agent reads the end of each watch; each watch has the time of its own silence, set once; a change never counts before it was made. Once its proxy has ended the silent watch, a change counts at once (it counted 6 s after the silence before), which is stricter.

Test: silent_watch_counts_until_its_proxy_ends_it; before: known_at 1579.411 for a change made at 1585.412.

--- a/tests/soak/discovery.py
+++ b/tests/soak/discovery.py
@@ -35,7 +35,7 @@
 
     def __init__(self, writer: asyncio.StreamWriter) -> None:
         self.writer = writer
-        self.is_silent = False
+        self.silent_since = inf
         self.unsent: deque[bytes] = deque()  # chunks that are not written whole
         self.unsent_since = inf
         self.sending: asyncio.Task[None] | None = None  # asyncio itself keeps no reference to a task
@@ -76,7 +76,6 @@
         self.sends_pieces = False
         self.missed_changes: list[Entry] = []  # while it was down
         self.down_until = 0.0
-        self.silent_since = 0.0  # of its newest silent watch; 0: none
         self.unwatched_since = 0.0  # from when on no watch was open; infinite while one is
         self.listener: asyncio.Server | None = None
 
@@ -118,9 +117,9 @@
             self.watches.add(watch)
             self.unwatched_since = inf
             watch.send(json.dumps(answer, indent=1 if self.sends_pieces else None), self.sends_pieces)
-            while not writer.is_closing():
-                await asyncio.sleep(EMPTY_LINE_INTERVAL)
-                if not watch.is_silent and not self.is_down:
+            # A proxy sends nothing more on a watch, but its end: also that of a watch that has fallen silent.
+            while not await is_ended(reader, EMPTY_LINE_INTERVAL):
+                if watch.silent_since == inf and not self.is_down:
                     watch.send("", self.sends_pieces)
         except (asyncio.IncompleteReadError, ConnectionError):
             pass
@@ -151,7 +150,7 @@
         for entry in changed:
             self.entries[entry["host"]] = (self.version, entry)
         text = json.dumps({"seq": self.version, "whole": False, "hosts": changed})
-        live = [watch for watch in self.watches if not watch.is_silent]
+        live = [watch for watch in self.watches if watch.silent_since == inf]
         for watch in live:
             with suppress(RuntimeError, OSError):
                 watch.send(text, self.sends_pieces)
@@ -159,15 +158,15 @@
         text = f"{now:.3f} sent{in_pieces} to {len(live)} of {len(self.watches)} watches"
         if live or not self.watches:
             return Delivery(now, text)
-        return Delivery(
-            self.silent_since + SILENCE_KNOWN_AFTER, f"{text}, silent since {self.silent_since:.3f}"
-        )
+        silent_since = max(watch.silent_since for watch in self.watches)
+        known_at = max(now, silent_since + SILENCE_KNOWN_AFTER)
+        return Delivery(known_at, f"{text}, silent since {silent_since:.3f}")
 
     def silence_watches(self) -> None:
         """All open watches fall silent, and stay open."""
+        now = time.monotonic()
         for watch in self.watches:
-            watch.is_silent = True
-        self.silent_since = time.monotonic()
+            watch.silent_since = min(watch.silent_since, now)
 
     def reset_watches(self) -> None:
         """All open watches break; none is open from this instant on."""
@@ -191,6 +190,13 @@
         return missed
 
 
+async def is_ended(reader: asyncio.StreamReader, within: float) -> bool:
+    """Waits for the other side's end for so many seconds; whether it came."""
+    with suppress(TimeoutError):
+        return not await asyncio.wait_for(reader.read(1), within)
+    return False
+
+
 def chunk(text: str) -> bytes:
     """Returns a line as one chunk of an HTTP answer."""
     return b"%x\r\n%b\n\r\n" % (len(text) + 1, text.encode())
--- a/tests/test_soak_records.py
+++ b/tests/test_soak_records.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import json
+import time
 from collections.abc import Callable, Coroutine
 from math import inf
 from pathlib import Path
@@ -11,10 +12,10 @@
 
 import pytest
 
-from tests.soak.discovery import DiscoveryAgent, Entry
+from tests.soak.discovery import SILENCE_KNOWN_AFTER, DiscoveryAgent, Entry
 from tests.soak.proxies import Proxy
 from tests.soak.records import ProcessRun, Records
-from tests.waiting import TEST_TIMEOUT
+from tests.waiting import POLL_INTERVAL, TEST_TIMEOUT
 
 UNREACHABLE = {"fail": {"connect": (1.0, "ENETUNREACH")}}
 
@@ -84,3 +85,22 @@
         assert agent.unreached_since == inf
 
     play(acts)
+
+
+def test_silent_watch_counts_until_its_proxy_ends_it() -> None:
+    # Guards against changes that count as known before they were made, or late though no watch is open.
+    async def acts(agent: DiscoveryAgent) -> None:
+        _, writer = await open_watch(agent)
+        agent.silence_watches()
+        silent = time.monotonic()
+        known_at = agent.receive_changes([entry("s0")]).known_at
+        assert known_at == pytest.approx(silent + SILENCE_KNOWN_AFTER, abs=0.5)
+        for watch in agent.watches:
+            watch.silent_since -= 2 * SILENCE_KNOWN_AFTER
+        assert agent.receive_changes([entry("s1")]).known_at >= silent
+        writer.close()
+        while agent.watches:
+            await asyncio.sleep(POLL_INTERVAL)
+        assert agent.unreached_since < inf
+
+    play(acts)
