Fault of the harness: overlapping outages of one agent end with the first

Cause: an agent was down or not; the end of the first of two outages made it serve again while its down_until still ran, and a change missed meanwhile counted at the end of the outage that was known as it was made.

Change: outages are counted; a missed change counts from the return itself, which notes it as before.

Test: agent_is_down_until_its_last_outage_is_over; before: known_at was a time and no infinity.

--- a/tests/soak/discovery.py
+++ b/tests/soak/discovery.py
@@ -72,7 +72,7 @@
         self.version = 1
         self.entries: dict[str, tuple[int, Entry]] = {}  # by server: the version of its last change, entry
         self.watches: set[Watch] = set()  # that are open
-        self.is_down = False
+        self.outages = 0  # that last
         self.sends_pieces = False
         self.missed_changes: list[Entry] = []  # while it was down
         self.down_until = 0.0
@@ -90,6 +90,11 @@
         host, port = self.listener.sockets[0].getsockname()[:2]
         return f"{host}:{port}"
 
+    @property
+    def is_down(self) -> bool:
+        """Whether it answers nobody and learns nothing."""
+        return self.outages > 0
+
     def load(self, servers: Iterable[Server]) -> None:
         """Sets the list that it begins with."""
         self.entries = {entry["host"]: (1, entry) for entry in entries_of(servers)}
@@ -144,7 +149,8 @@
         now = time.monotonic()
         if self.is_down:
             self.missed_changes += entries
-            return Delivery(max(now, self.down_until), f"{now:.3f} missed, down until {self.down_until:.3f}")
+            # Not known at all until the return, which may be put off by a further outage.
+            return Delivery(inf, f"{now:.3f} missed, down until {self.down_until:.3f}")
         self.version += 1
         changed = list(entries)
         for entry in changed:
@@ -175,13 +181,18 @@
             self.watch_ended(watch)
 
     def go_down(self, seconds: float) -> None:
-        """Answers nobody for so many seconds, until `come_back`."""
-        self.is_down = True
-        self.down_until = time.monotonic() + seconds
+        """Answers nobody for so many seconds, until one `come_back` for each call."""
+        self.outages += 1
+        self.down_until = max(self.down_until, time.monotonic() + seconds)
 
     def come_back(self) -> list[Entry]:
-        """Serves again, with all watches broken; returns the changes that it had missed."""
-        self.is_down = False
+        """Serves again, unless another outage lasts; returns the changes that it had missed.
+
+        All its watches are broken then.
+        """
+        self.outages -= 1
+        if self.is_down:
+            return []
         self.reset_watches()
         missed = self.missed_changes
         self.missed_changes = []
--- a/tests/soak/simulation.py
+++ b/tests/soak/simulation.py
@@ -211,7 +211,7 @@
         self.records.notifications += [
             NotifiedChange(agent.proxy, entry["host"], delivery.known_at, delivery.text)
             for entry in entries
-            if entry["health"] != "ready"
+            if entry["health"] != "ready" and delivery.known_at < inf
         ]
 
     def note_trouble(self, text: str) -> None:
--- a/tests/test_soak_records.py
+++ b/tests/test_soak_records.py
@@ -104,3 +104,14 @@
         assert agent.unreached_since < inf
 
     play(acts)
+
+
+def test_agent_is_down_until_its_last_outage_is_over() -> None:
+    # Guards against an agent that serves amid an outage, and against changes that count before its return.
+    agent = DiscoveryAgent(0)
+    agent.go_down(3.0)
+    agent.go_down(3.0)
+    assert agent.receive_changes([entry("s0")]).known_at == inf
+    assert agent.come_back() == [] and agent.is_down
+    assert agent.come_back() == [entry("s0")] and not agent.is_down
+    assert agent.entries["s0"][1] == entry("s0")
