Fault of the judge: its own lateness makes a closed attempt look as if it were out

Cause: the judge allows for its own lateness from the first attempt to the second one's arrival. What made it see the first one's end late lies behind that arrival.

Change: its lateness counts up to when it saw the first one's end, at most 1 s after the second one's arrival. An overlap without lateness of its own is a breach from 0.05 s on, as before.

Test: two_attempts_out_are_found_but_for_the_judges_own_lateness; before, its third line failed.

--- a/tests/soak/judge.py
+++ b/tests/soak/judge.py
@@ -21,6 +21,7 @@
 # Seconds; a watch may break just before discovery becomes unreachable, and is opened anew after it.
 UNREACHABLE_BEFORE = 1.0
 UNREACHABLE_AFTER = 0.5
+MOST_OVERLAP = 1.0  # seconds after the next attempt in which this process may have been late
 MICRO = 1e6
 FAULT_LINE = re.compile(r"fault |Traceback|violation of|; keep the log")
 EXTRA_DESCRIPTORS = 2  # that may be seen above the limit
@@ -143,7 +144,8 @@
         """One attempt is out at a time; what may have run is repeated only where its class allows it."""
         attempts = self.attempts[client.request_id]
         for earlier, later in pairwise(attempts):
-            lag = self.own_lag(earlier.received_at, later.received_at)
+            # Late itself, this process sees the end of the earlier one late, after the next one has come.
+            lag = self.own_lag(earlier.received_at, min(earlier.ended_at, later.received_at + MOST_OVERLAP))
             if earlier.ended_at > later.received_at + SLACK + lag:
                 overlap = earlier.ended_at - later.received_at
                 details = f"{earlier.server} until {overlap:.3f} s after {later.server}"
--- a/tests/test_soak_records.py
+++ b/tests/test_soak_records.py
@@ -8,13 +8,16 @@
 from collections.abc import Callable, Coroutine
 from math import inf
 from pathlib import Path
+from random import Random
 from typing import Any
 
 import pytest
 
 from tests.soak.discovery import SILENCE_KNOWN_AFTER, DiscoveryAgent, Entry
+from tests.soak.drawn_settings import draw_settings
+from tests.soak.judge import Breach, Judge
 from tests.soak.proxies import Proxy
-from tests.soak.records import ProcessRun, Records
+from tests.soak.records import Attempt, ClientRecord, ProcessRun, Records
 from tests.waiting import POLL_INTERVAL, TEST_TIMEOUT
 
 UNREACHABLE = {"fail": {"connect": (1.0, "ENETUNREACH")}}
@@ -115,3 +118,21 @@
     assert agent.come_back() == [] and agent.is_down
     assert agent.come_back() == [entry("s0")] and not agent.is_down
     assert agent.entries["s0"][1] == entry("s0")
+
+
+def two_attempts(end_seen_at: float, lags: list[tuple[float, float]]) -> list[Breach]:
+    """Judges a request that was sent to two servers, whose second attempt came at 10.0."""
+    records = Records(lags=lags, processes=[ProcessRun(0, 0.0, log_path="/dev/null")])
+    records.clients.append(ClientRecord("1", "feed", 0, 0, 1.0, sent_at=9.5, answers=[(10.1, "BUSY")]))
+    records.attempts.append(Attempt("1", "feed", "s1", 9.6, 9.6, "nothing", ended_at=end_seen_at))
+    records.attempts.append(Attempt("1", "feed", "s2", 10.0, 10.0, "BUSY", ended_at=10.1))
+    return Judge(records, draw_settings(Random(1), 6), 40.0, 6).judge()
+
+
+def test_two_attempts_out_are_found_but_for_the_judges_own_lateness() -> None:
+    # Guards against a judge that was late itself and takes it for a second attempt out at once.
+    assert not two_attempts(10.04, [])
+    assert [breach.rule for breach in two_attempts(10.08, [])] == ["two attempts out"]
+    assert not two_attempts(10.08, [(10.01, 0.06)])
+    assert [breach.rule for breach in two_attempts(10.18, [(10.01, 0.06)])] == ["two attempts out"]
+    assert [breach.rule for breach in two_attempts(10.08, [(10.09, 0.06)])] == ["two attempts out"]
