Fault of the judge: proxies that know of no start are blamed for pushing a server over

Cause: the rule is broken by a fall of which over two thirds came from proxies that had been notified of the start. The judge counted all attempts.

Test: server_is_pushed_over_by_proxies_that_were_notified_of_its_start: three of three proxies notified is a breach, two of three is none; before, both were.

--- a/tests/test_soak_records.py
+++ b/tests/test_soak_records.py
@@ -17,7 +17,7 @@
 from tests.soak.drawn_settings import draw_settings
 from tests.soak.judge import Breach, Judge
 from tests.soak.proxies import Proxy
-from tests.soak.records import Attempt, ClientRecord, ProcessRun, Records
+from tests.soak.records import Attempt, ClientRecord, NotifiedChange, ProcessRun, Records
 from tests.waiting import POLL_INTERVAL, TEST_TIMEOUT
 
 UNREACHABLE = {"fail": {"connect": (1.0, "ENETUNREACH")}}
@@ -136,3 +136,25 @@
     assert not two_attempts(10.08, [(10.01, 0.06)])
     assert [breach.rule for breach in two_attempts(10.18, [(10.01, 0.06)])] == ["two attempts out"]
     assert [breach.rule for breach in two_attempts(10.08, [(10.09, 0.06)])] == ["two attempts out"]
+
+
+def slow_start_breaches(proxies_notified: int) -> list[str]:
+    """Judges a server in slow start that gets 12 attempts each of three proxies, some of them notified."""
+    records = Records(server_starts={"s1": 10.0})
+    for proxy in range(3):
+        records.processes.append(ProcessRun(proxy, 0.0, log_path="/dev/null"))
+        for number in range(12):
+            name = f"{proxy}-{number}"
+            at = 10.1 + number / 50
+            records.clients.append(ClientRecord(name, "feed", proxy, 0, 1.0, at, [(at, "BUSY")]))
+            records.attempts.append(Attempt(name, "feed", "s1", at, at, "BUSY", ended_at=at))
+    for proxy in range(proxies_notified):
+        records.notifications.append(NotifiedChange(proxy, "s1", 10.0, "", is_ready=True))
+    judge = Judge(records, draw_settings(Random(1), 3), 12.0, 6)
+    return [breach.rule for breach in judge.judge()]
+
+
+def test_server_is_pushed_over_by_proxies_that_were_notified_of_its_start() -> None:
+    # Guards against a judge that blames proxies for a start of which discovery has told them nothing yet.
+    assert slow_start_breaches(proxies_notified=3) == ["slow start"]
+    assert slow_start_breaches(proxies_notified=2) == []
