Fault: the log says no reason where a request is rejected before it is placed

Cause: a client gets its request once Balancer.request_received returns; a reject or an abort on the way there found none, and the event log takes the reason from it.

Change: Proxy.reject and Proxy.abort set the client's request, as start_attempt does. And a test's kept log holds what stop() has read.

--- a/brambleplank/net/proxy.py
+++ b/brambleplank/net/proxy.py
@@ -262,12 +262,14 @@
     def reject(self, request: Request, pause: float) -> None:
         """Answers a request that trying again is harmless, best after `pause` seconds (0: no advice)."""
         client: ClientConnection = request.handle
+        client.request = request  # the log says why; it may be rejected before it is placed
         self.invariants.request_rejected(client.id, request)
         client.reject(pause)
 
     def abort(self, request: Request) -> None:
         """Answers a request that it may or may not have run."""
         client: ClientConnection = request.handle
+        client.request = request
         client.abort("aborted")
 
     def migrate(self, request: Request) -> None:
--- a/tests/programs.py
+++ b/tests/programs.py
@@ -148,7 +148,8 @@
 
     def remaining_log(self) -> str:
         """Waits for its end and returns all that it has written."""
-        return "".join(self.log_lines) + self.process.communicate(timeout=TEST_TIMEOUT)[1]
+        self.log_lines.append(self.process.communicate(timeout=TEST_TIMEOUT)[1])
+        return "".join(self.log_lines)
 
     def kept_log(self) -> str:
         """Returns all that it has written so far; does not wait, as its children may hold the pipe open."""
