Fault: during an upgrade clients are rejected as if the servers were full

Callers saw: BUSY at the next process of a proxy while the one before still ran, where one server is left in rotation: the entry test_consecutive_upgrades_keep_clients_and_rotation.

Cause: a server's connections count with those that the other process has reported; what they are compared with, the mean and the peak, counted them only where peers speak. Clients that ended at the process before and came again counted twice until its next report (0.1 s, longer beside load), and the last server looked harmful: six reported and three here, over 2 x 3 + 2.

Change: the mean and the peak count what another process of this proxy has reported, as they count peers'. Where there is neither, nothing is added and nothing is summed, as before.

Test: clients_that_change_from_the_process_before_do_not_fill_the_last_server; before: 'rejected at 3 connections here'. The test of the entry is unchanged.

--- a/brambleplank/decisions/server_load.py
+++ b/brambleplank/decisions/server_load.py
@@ -24,18 +24,31 @@
         self.endpoints = endpoints
         self.counts = counts
         self.load_reports = load_reports
+        self.has_sibling = False  # whether another process of this proxy holds connections
         self.peak = 0.0  # connections for one unit of size, over all servers: the most that they have borne
 
     def mean(self) -> float:
         """Returns the mean count of connections on available servers."""
         available = self.endpoints.available
-        elsewhere = sum(s.connections_elsewhere for s in available) if self.load_reports.peers else 0
+        elsewhere = sum(s.connections_elsewhere for s in available) if self.counts_elsewhere() else 0
         return (self.counts.on_ready + elsewhere) / max(1, len(available))
 
+    def counts_elsewhere(self) -> bool:
+        """Returns whether connections elsewhere are known: of peers, or of another process of this proxy."""
+        return self.has_sibling or bool(self.load_reports.peers)
+
+    def sibling_reported(self) -> None:
+        """Takes in that another process of this proxy has changed servers' connections elsewhere.
+
+        Compared with a mean of this process's own alone, servers would look full that carry both.
+        """
+        self.has_sibling = any(server.connections_elsewhere for server in self.endpoints.servers.values())
+        self.raise_peak_by_all()
+
     def refresh(self, now: float) -> None:
         """Recomputes which servers are available, and the peak."""
         self.endpoints.refresh(now)
-        if self.load_reports.peers:
+        if self.counts_elsewhere():
             self.raise_peak_by_all()
         else:
             self.raise_peak(self.counts.on_all)
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -2,7 +2,11 @@
 
 from __future__ import annotations
 
-from brambleplank.model import AttemptOutcome
+from types import SimpleNamespace
+from typing import Any
+
+from brambleplank.model import AttemptOutcome, EndpointStatus
+from brambleplank.platform.connections_elsewhere import record_connections_elsewhere
 from tests.fake_host import FakeHost, HostCall
 
 
@@ -50,6 +54,19 @@
     assert sound.connections > 50 and not fake.calls(HostCall.REJECT)
 
 
+def test_clients_that_change_from_the_process_before_do_not_fill_the_last_server() -> None:
+    # Guards against rejects in an upgrade: the process before counts its clients until its next report.
+    fake = FakeHost(servers=2)
+    fake.receive_endpoints({"10.0.0.1:80": EndpointStatus.DRAINING})
+    proxy: Any = SimpleNamespace(balancer=fake.balancer, clock=SimpleNamespace(now=lambda: fake.now))
+    record_connections_elsewhere(proxy, "the process before", {"10.0.0.0:80": 6}, {})
+    for key in range(6):
+        fake.advance(0.01)
+        request = fake.request(key)
+        assert request.attempts, f"rejected at {fake.server('10.0.0.0:80').connections} connections here"
+        fake.establish(request)
+
+
 def test_listed_dead_servers_do_not_count_as_capacity() -> None:
     fake = FakeHost(servers=5)
     dead = fake.balancer.ready_servers[:3]
