Fault of the harness: two soaks beside each other may share their addresses

Cause: a run's addresses came from a checksum of its folder over 250 subnets; the suite alone plays up to six runs at once, and each pair shares one with a chance of 1 in 250.

Change: a run claims its subnet by a listening socket for as long as it is played, the next free one if another run has it.

Test: runs_beside_each_other_have_addresses_of_their_own.

--- a/tests/soak/simulation.py
+++ b/tests/soak/simulation.py
@@ -5,6 +5,7 @@
 import asyncio
 import resource
 import signal
+import socket
 import time
 import zlib
 from collections.abc import Coroutine
@@ -31,6 +32,9 @@
 LAG_LOOK_INTERVAL = 0.02  # seconds
 LAG_COUNTS_FROM = 0.04  # seconds
 DESCRIPTORS = 16384  # that this process asks for
+SUBNETS = 250
+CLAIMED_HOST = 254
+CLAIMED_PORT = 4999
 ZONES = ("a", "b")
 SHARE_SHORT_DEADLINE = 0.1  # of requests
 SHARE_MISBEHAVING = 0.05  # of clients
@@ -50,10 +54,24 @@
     rate: float  # requests a second, over all proxies
     patch: str = ""
 
-    @property
-    def subnet(self) -> int:
-        """A part of this run's addresses, as others may be played beside it."""
-        return zlib.crc32(str(self.folder).encode()) % 250
+
+class Subnet:
+    """A part of the loopback addresses that no other run uses while this one is played."""
+
+    def __init__(self, preferred: int) -> None:
+        """Takes the next free one, beginning with the one that is preferred."""
+        for step in range(SUBNETS):
+            self.number = 1 + (preferred + step) % SUBNETS
+            try:
+                self._claim = socket.create_server((f"127.20.{self.number}.{CLAIMED_HOST}", CLAIMED_PORT))
+                return
+            except OSError:
+                continue
+        raise RuntimeError("too many runs beside each other")
+
+    def close(self) -> None:
+        """Leaves it to other runs."""
+        self._claim.close()
 
 
 class Simulation:
@@ -62,6 +80,7 @@
     def __init__(self, plan: SimulationPlan) -> None:
         self.plan = plan
         self.rng = Random(plan.seed)
+        self.subnet = Subnet(zlib.crc32(str(plan.folder).encode()))
         self.records = Records()
         self.settings = draw_settings(self.rng, plan.proxies)
         self.servers = [self.new_server(ZONES[n % 2]) for n in range(plan.servers)]
@@ -97,7 +116,7 @@
     def new_proxy(self, number: int, agent: DiscoveryAgent, has_upgrades: bool) -> Proxy:
         """Returns a proxy with its configuration, which does not run yet."""
         peers, peers_all = self.relay.peer_addresses(number)
-        address = f"127.{20 + number // 200}.{1 + self.plan.subnet}.{1 + number % 200}", 5000
+        address = f"127.{20 + number // 200}.{self.subnet.number}.{1 + number % 200}", 5000
         folder = self.plan.folder / f"p{number}"
         proxy = Proxy(number, folder, address, agent, self.records, self.plan.patch)
         proxy.configure(
@@ -262,6 +281,7 @@
             proxy.kill()
             proxy.signal_predecessors(signal.SIGKILL)
         self.relay.close()
+        self.subnet.close()
         for server in self.servers:
             if server.listener is not None:
                 server.listener.close()
--- a/tests/test_soak_records.py
+++ b/tests/test_soak_records.py
@@ -18,6 +18,7 @@
 from tests.soak.judge import Breach, Judge
 from tests.soak.proxies import Proxy
 from tests.soak.records import Attempt, ClientRecord, NotifiedChange, ProcessRun, Records
+from tests.soak.simulation import Subnet
 from tests.waiting import POLL_INTERVAL, TEST_TIMEOUT
 
 UNREACHABLE = {"fail": {"connect": (1.0, "ENETUNREACH")}}
@@ -158,3 +159,14 @@
     # Guards against a judge that blames proxies for a start of which discovery has told them nothing yet.
     assert slow_start_breaches(proxies_notified=3) == ["slow start"]
     assert slow_start_breaches(proxies_notified=2) == []
+
+
+def test_runs_beside_each_other_have_addresses_of_their_own() -> None:
+    # Guards against two soaks whose proxies listen at the same addresses, and serve each other's clients.
+    one, other = Subnet(7), Subnet(7)
+    assert one.number != other.number
+    one.close()
+    again = Subnet(7)
+    assert again.number == one.number
+    again.close()
+    other.close()
