--- a/tests/test_list_told.py
+++ b/tests/test_list_told.py
@@ -77,7 +77,8 @@
 ) -> None:
     # Guards against attempts after a short drain grace: the list was asked for again only once a request
     # from before the return of discovery had been given up.
-    one, other = StandInServer(), StandInServer("UP r2")
+    one = StandInServer()
+    other = StandInServer("UP r2")
     rules = {**PLATFORM_SETTINGS["rules"], "stop_sending_within_us": 300_000}
     program = start_program(fleet(one, other), settings={**PLATFORM_SETTINGS, "rules": rules})
     unanswered = [program.discovery.requests.get(timeout=15)[1] for _ in range(3)]
--- a/tests/test_soak_records.py
+++ b/tests/test_soak_records.py
@@ -163,7 +163,8 @@
 
 def test_runs_beside_each_other_have_addresses_of_their_own() -> None:
     # Guards against two soaks whose proxies listen at the same addresses, and serve each other's clients.
-    one, other = Subnet(7), Subnet(7)
+    one = Subnet(7)
+    other = Subnet(7)
     assert one.number != other.number
     one.close()
     again = Subnet(7)
