Slow-start tokens become usable one after another, not a slot's at once

Callers saw nothing wrong; a server in slow start got the whole budget of an overload window in one burst as each slot began, and the three listed cases of test_wall_clock_step_does_not_bypass_slow_start failed when load stretched them past 2.0 s.

Cause: the budget of all proxies is counted in slots of an overload window, and nothing spread it inside a slot. Evidence: the cases without a clock step fail as the others do; the new test test_budget_is_spread_over_the_window_under_constant_demand fails on the old text (3 attempts in an eighth of a window, 2 are its share).

Change: tokens become usable at equal distances in their slot and last for a slot's length, over its end too; oldest first, so the stored cold_slot and cold_sent keep their form. Own tokens, an aggregator's permits and long slots share this code. The budget of a window is as before.

--- a/brambleplank/decisions/slow_start.py
+++ b/brambleplank/decisions/slow_start.py
@@ -2,9 +2,9 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+from collections.abc import Collection
 from functools import partial
-from math import ceil, sqrt
+from math import ceil, floor, sqrt
 
 from brambleplank.decisions.context import Context
 from brambleplank.decisions.server_pool import ServerPool
@@ -24,21 +24,29 @@
         self.context = context
         self.server_pool = server_pool
 
-    def tokens(self, now: float, server: Server, proxy_numbers: Iterable[int]) -> int:
-        """Returns the number of attempts in this slot that the given proxies may send together.
+    def usable_tokens(self, now: float, server: Server, proxy_numbers: Collection[int]) -> int:
+        """Returns the number of attempts that the given proxies may send together now.
 
-        Tokens are dealt out by proxy number, beginning with a proxy derived from the server's points, so that
-        proxies with the same endpoint list agree on the shares.
+        The tokens of a slot become usable one after another at equal distances, so that the budget of a new
+        slot is not free at once. They are dealt out by proxy number, beginning with a proxy derived from the
+        server's points, so that proxies with the same endpoint list agree on the shares.
         """
-        first = server.points[self.server_pool.slots.update(now, server) % POINTS_PER_SERVER]
         proxies = self.context.settings.proxies
         budget = self.budget(now, server) * self.server_pool.slots.windows_per_slot()
-        return sum(max(0, ceil((budget - (number + first) % proxies) / proxies)) for number in proxy_numbers)
+
+        def tokens_until(slot: int, slot_share: float) -> int:
+            first = server.points[slot % POINTS_PER_SERVER]
+            last_index = ceil(budget) - 1 if slot_share >= 1.0 else floor(slot_share * budget)
+            return sum(
+                max(0, (last_index - (number + first) % proxies) // proxies + 1) for number in proxy_numbers
+            )
+
+        return self.server_pool.slots.usable_tokens(now, server, tokens_until)
 
     def budget(self, now: float, server: Server) -> float:
         """Returns the allowed attempts of all proxies per overload window; one is harmless to any server."""
         sustainable = self.sustainable_attempts(now, server)
-        # A window may overlap two slots, and tokens are rounded up.
+        # A token lasts for a window, so another window may see those of up to two, and tokens are rounded up.
         return max(1.0, min(sustainable, sustainable / 2 + sqrt(sustainable)))
 
     def sustainable_attempts(self, now: float, server: Server) -> float:
@@ -95,7 +103,7 @@
         return server.started > max(0.0, now - self.settings.slow_start_time)
 
     def update_slot(self, now: float, server: Server) -> int:
-        """Returns the number of the server's current slot; in a new slot, no attempts have been sent."""
+        """Returns the number of the server's current slot, and drops the unused tokens of earlier ones."""
         return self.server_pool.slots.update(now, server)
 
     def sustainable_attempts(self, now: float, server: Server) -> float:
@@ -119,13 +127,13 @@
 
     def has_token(self, now: float, server: Server) -> bool:
         """Returns whether this proxy may send another attempt there, by its tokens or at random."""
-        tokens = self.slow_start_budget.tokens(now, server, [self.settings.proxy_number])
         self.candidate_checks.add(now, self.settings.overload_window)
         candidate_checks = self.checks_per_server(now)
         if self.settings.aggregates_load or candidate_checks >= FREQUENT_CHECKS:
-            return tokens > server.slow_start_sent
+            return self.slow_start_budget.usable_tokens(now, server, [self.settings.proxy_number]) > 0
         # If requests for each server are rare, most tokens dealt by proxy number would expire unused.
         sustainable = self.slow_start_budget.sustainable_attempts(now, server)
+        self.update_slot(now, server)
         share = max(1.0, RANDOM_GRANT_SHARE * sustainable) / self.settings.proxies
         # Otherwise a moving group could send far more attempts to a single server, through many proxies.
         return (
@@ -174,7 +182,7 @@
         proxy_numbers = [*self.server_pool.load_reports.peers, self.settings.proxy_number]
         is_granted = (
             self.server_pool.load_reports.has_live_aggregator(now)
-            and self.slow_start_budget.tokens(now, server, proxy_numbers) > server.slow_start_sent
+            and self.slow_start_budget.usable_tokens(now, server, proxy_numbers) > 0
         )
         if is_granted:
             server.slow_start_sent += 1
--- a/brambleplank/platform/connections_elsewhere.py
+++ b/brambleplank/platform/connections_elsewhere.py
@@ -22,8 +22,9 @@
         connections = held.get(server.id, 0)
         server.connections_elsewhere += connections - server.connections_by_peer.get(process, 0)
         server.connections_by_peer[process] = connections
-        balancer.slow_start.update_slot(now, server)
-        server.slow_start_sent += sent.get(server.id, 0)
+        if attempts := sent.get(server.id, 0):
+            balancer.slow_start.update_slot(now, server)
+            server.slow_start_sent += attempts
     # Servers carry the load of both processes; compared with the share of one, they would look overloaded.
     balancer.connections_elsewhere_changed()
 
--- a/tests/test_slow_start.py
+++ b/tests/test_slow_start.py
@@ -321,3 +321,27 @@
     requester.receive_endpoints({"10.0.0.1:80": EndpointStatus.READY})
     requester.advance(DECODED_SETTINGS.shutdown_time + 0.01)
     assert request.answered
+
+
+@pytest.mark.parametrize("connections", [200, 1000])
+def test_budget_is_spread_over_the_window_under_constant_demand(connections: int) -> None:
+    # Guards against a window's whole budget being free at once when a slot begins.
+    fake = FakeHost(proxies=1)
+    for key in range(connections):
+        fake.establish(fake.request(key, server=fake.balancer.ready_servers[key % WARM_SERVERS]))
+    fake.receive_endpoints({NEW_SERVER: EndpointStatus.READY}, started=fake.now)
+    starting = fake.server(NEW_SERVER)
+    keys = (
+        key for key in count(1000) if fake.balancer.ring.owner(place_on_ring(b"key %d" % key)) is starting
+    )
+    parts_per_window = 8
+    part = DECODED_SETTINGS.overload_window / parts_per_window
+    for _ in range(3 * parts_per_window):
+        budget = fake.balancer.slow_start.budget(fake.now, starting)
+        sent = 0
+        for _ in range(2 * ceil(budget)):
+            request = fake.request(next(keys))
+            sent += request.attempts[0].server is starting
+            fake.end_attempt(request, AttemptOutcome.CANCELLED, complete=True)
+        assert sent <= ceil(budget / parts_per_window) + 1
+        fake.advance(part)
