Shutdown ends an attempt with its answer, and an answered client's wait

Callers: a client whose resumed session got FAIL at a shutdown kept the process alive by not closing its end (up to 1.5 s after the answer), and the attempt at its server stood all that time; the server could still have answered UP for a client that was told FAIL.

Cause: GracefulShutdown waited for every client object, and those with an answer leave only when their connection closes, so READ_GRACE was never reached by one that had a request. _end_remaining aborted resumed sessions without ending their attempts.

Change: clients with an answer count as reading, which READ_GRACE ends; abort_client ends the attempts and answers, and serves overdue requests too. Looked for elsewhere: requests that end after an exception or a too early line end their attempts, or these never send; an attempt that the settings forbid to cancel stands until its time-out, as before.

--- a/brambleplank/net/graceful_shutdown.py
+++ b/brambleplank/net/graceful_shutdown.py
@@ -2,14 +2,14 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Collection
+from collections.abc import Callable
 
 from brambleplank.decisions.balancer import Balancer
 from brambleplank.decisions.request_invariants import RequestInvariants
-from brambleplank.interfaces import ClientConnection
 from brambleplank.net.admission import ConnectionAdmission
 from brambleplank.net.clock import Clock
 from brambleplank.net.log import LogWriter
+from brambleplank.net.request_lifecycle import RequestLifecycle
 
 CHECK_INTERVAL = 0.1  # seconds
 ACCEPT_GRACE = 0.5  # seconds from the start of the shutdown in which clients may still connect
@@ -25,7 +25,7 @@
         log: LogWriter,
         balancer: Balancer,
         admission: ConnectionAdmission,
-        clients: Collection[ClientConnection],
+        requests: RequestLifecycle,
         drained: Callable[[], None],
         invariants: RequestInvariants,
     ) -> None:
@@ -33,7 +33,7 @@
         self._log = log
         self._balancer = balancer
         self._admission = admission
-        self._clients = clients
+        self._requests = requests
         self._drained = drained
         self._invariants = invariants
 
@@ -64,14 +64,17 @@
         admission = self._admission
         is_overdue = now >= self._balancer.shutdown_at
         is_read_grace_over = now >= self._balancer.shutdown_at + READ_GRACE
+        # Clients with an answer stay among the requests until they have closed their connections.
+        open_requests = any(not client.end_code for client in self._requests.clients)
         connecting = admission.pending or admission.has_paused_listener()
-        reading = admission.closing or admission.evicted
-        return not (self._clients or (connecting and not is_overdue) or (reading and not is_read_grace_over))
+        reading = self._requests.clients or admission.closing or admission.evicted
+        return not (open_requests or (connecting and not is_overdue) or (reading and not is_read_grace_over))
 
     def _end_remaining(self) -> None:
         """Evicts connections without a request, and aborts resumed sessions that no server has confirmed."""
         for client in list(self._admission.pending):
             client.evict()
-        for client in list(self._clients):
-            if client.resumed_session is not None and client.established_upstream is None:
-                client.abort("unplaced")
+        for client in list(self._requests.clients):
+            is_resuming = client.resumed_session is not None and client.established_upstream is None
+            if is_resuming and not client.end_code:
+                self._requests.abort_client(client, "unplaced")
--- a/brambleplank/net/proxy.py
+++ b/brambleplank/net/proxy.py
@@ -94,7 +94,7 @@
             log,
             self.balancer,
             self.admission,
-            self.requests.clients,
+            self.requests,
             self._report_drained,
             self.invariants,
         )
--- a/brambleplank/net/request_lifecycle.py
+++ b/brambleplank/net/request_lifecycle.py
@@ -171,10 +171,17 @@
         if self.fleet_admission:
             self.fleet_admission.request_ended(client, client.end_code == "rejected")
 
+    def abort_client(self, client: ClientConnection, code: str) -> None:
+        """Aborts a request without its decisions, and ends its attempts; `code` is the reason code.
+
+        An attempt that goes on could take effect after the client was told that it failed.
+        """
+        self.client_disconnected(client, False)
+        client.abort(code)
+
     def abort_overdue(self, client: ClientConnection) -> None:
         """Aborts a request that the decisions did not answer in time."""
-        self.client_disconnected(client, False)
-        client.abort("overdue")
+        self.abort_client(client, "overdue")
 
     # Events of servers.
 
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -13,6 +13,7 @@
 
 import pytest
 
+from brambleplank.net.graceful_shutdown import READ_GRACE
 from tests.overrides import override
 from tests.ports import unused_address
 from tests.programs import Program, start_process
@@ -287,6 +288,34 @@
     assert time.monotonic() - started_at < 3.7
 
 
+LONG_ANSWER_LINGER = override("brambleplank.frontends.line.client_connections:LINGER_TIMEOUT", 9)
+SCHEDULING_MARGIN = 1.5  # seconds, on a busy machine
+
+
+def test_attempt_ends_with_the_answer_to_its_resumed_session(start_program: StartProgram) -> None:
+    # Guards against an attempt that stays at its server after the client was told FAIL.
+    silent = StandInServer(None)
+    program = start_program(endpoint_list(41, True, s0=silent.address), patch=LONG_ANSWER_LINGER)
+    client = program.open_request(extra_fields=",at=s0")
+    _, attempt = silent.next_opening()
+    program.process.send_signal(signal.SIGTERM)
+    assert client.read_line() == "FAIL"
+    assert attempt.is_closed(0.3) and program.process.poll() is None
+
+
+def test_shutdown_waits_no_longer_than_its_grace_for_clients_to_read(start_program: StartProgram) -> None:
+    # Guards against a shutdown that waits for the end of an answered client's connection.
+    silent = StandInServer(None)
+    program = start_program(endpoint_list(41, True, s0=silent.address), patch=LONG_ANSWER_LINGER)
+    client = program.open_request(extra_fields=",at=s0")
+    silent.next_opening()
+    program.process.send_signal(signal.SIGTERM)
+    assert client.read_line() == "FAIL"
+    answered_at = time.monotonic()
+    program.next_log_line("shutdown: drained")
+    assert time.monotonic() - answered_at < READ_GRACE + SCHEDULING_MARGIN
+
+
 FAILING_FIRST_CONNECTION = """
 from brambleplank.frontends.line import client_connections
 begin, raised = client_connections.LineClientConnection.connectionMade, []
