A server's name of a wrong kind is a fault, not a TypeError

Callers: a start or check of a file with name = 5 in a [[server]] table ended in a traceback; a running sidecar kept its list and logged TypeError without the key.

Cause: the check runs after a failed decoding, and Pattern.fullmatch, written in C, uses no method of the placeholder that would raise UnreadableValueError.

Change: the check takes the text of the name, which raises as meant, so the check is skipped and the decoder's fault stands.

--- a/brambleplank/discovery/file/server_file.py
+++ b/brambleplank/discovery/file/server_file.py
@@ -134,7 +134,7 @@
     def check_name(self, index: int, server: Server) -> None:
         """Adds a fault if the name is invalid or that of an earlier server."""
         key = (*self.path, index, "name")
-        if not SERVER_NAME.fullmatch(server.name):
+        if not SERVER_NAME.fullmatch(str(server.name)):  # raises for a name that could not be decoded
             self.document.add_fault(key, "need a word", 'write letters without spaces, like "feed1"')
         elif server.name in self.names:
             wrong = f'"{server.name}" is server[{self.names[server.name] + 1}] already'
