Outlier marks are renewed once a heartbeat, so that they do not lapse

Callers of the product saw nothing; in the fleet tests a quiet member sent a request to a server that it had marked as an outlier (test_member_avoids_server_that_others_found_bad, twice in one busy run).

Cause: a mark lasts three heartbeats but was renewed once a second, whatever the heartbeat; with the tests' 0.25 s it ended 0.25 s and more before each renewal. With the product's heartbeat of 1 s it lasts 3 s.

Evidence: the log line that was missing is added; it says why a marked server was chosen.

Change: the evaluation follows the heartbeat, as ejections do.

--- a/brambleplank/interfaces.py
+++ b/brambleplank/interfaces.py
@@ -164,6 +164,9 @@
     def request_ended(self, client: ClientConnection, rejected: bool) -> None:
         """Records that a request has its final answer, or that a session has ended."""
 
+    def attempt_started(self, server: Server) -> None:
+        """Records that a server was chosen for an attempt."""
+
     def attempt_finished(self, server: Server, succeeded: bool) -> None:
         """Records that an attempt at a server was established (`succeeded`) or failed."""
 
--- a/brambleplank/net/fleet_link.py
+++ b/brambleplank/net/fleet_link.py
@@ -11,6 +11,7 @@
 
 from brambleplank.decisions.balancer import Balancer
 from brambleplank.fleet.errors import DatagramError
+from brambleplank.fleet.leases.timing import HEARTBEAT_INTERVAL
 from brambleplank.fleet.member import FleetMember
 from brambleplank.fleet.retirement.plan import RetirementStep
 from brambleplank.fleet.retirement.progress import RetirementProgress
@@ -28,7 +29,6 @@
 from brambleplank.server_tags import MAX_TAG_WIDTH, ServerTags
 
 TICK_INTERVAL = 0.1  # seconds
-OBSERVATION_INTERVAL = 1.0  # seconds between evaluations of the members' observations of servers
 IDEMPOTENCY_RANKS = {  # a larger rank is less safe to repeat
     Idempotency.IDEMPOTENT: 0,
     Idempotency.IDEMPOTENT_IN_GROUP: 1,
@@ -93,6 +93,7 @@
         self._ignored_datagrams = 0
         self._next_observation_at = 0.0
         self._ejected_servers: set[Server] = set()  # at the last evaluation of observations
+        self._attempts_at_outliers = 0
         self._clock.call_later(0, self.tick)
 
     def _join(self, seed: int, send: Callable[[bytes, int | None], None]) -> FleetMember:
@@ -132,7 +133,7 @@
         if self.retirement_progress is not None:
             self.retirement_progress.tick(now)
         if now >= self._next_observation_at:
-            self._next_observation_at = now + OBSERVATION_INTERVAL
+            self._next_observation_at = now + HEARTBEAT_INTERVAL  # ejections arrive as often
             self._mark_outliers(now)
             for client in self.admission.sessions_to_migrate(now):
                 self._host.migrate_client(client)
@@ -272,6 +273,20 @@
         """Records that a request has its final answer, or that a session has ended."""
         self.admission.request_ended(client, rejected)
 
+    def attempt_started(self, server: Server) -> None:
+        """Logs why a server was chosen although it is marked as an outlier."""
+        if server not in self._ejected_servers:
+            return
+        self._attempts_at_outliers += 1
+        if not is_logged_occurrence(self._attempts_at_outliers):
+            return
+        since_end = self._clock.now() - server.slow_until
+        reason = f"its mark ended {since_end:.3f} s ago" if since_end >= 0 else "no server is better"
+        self._log.write_line(
+            f"fleet: attempt at {server.id} although it is marked as an outlier: {reason}; "
+            f"{self._attempts_at_outliers} so far"
+        )
+
     def attempt_finished(self, server: Server, succeeded: bool) -> None:
         """Records the result of an attempt at a server, for the members' observations."""
         self.servers_by_tag()
--- a/brambleplank/net/proxy.py
+++ b/brambleplank/net/proxy.py
@@ -215,6 +215,8 @@
         client: ClientConnection = request.handle
         client.request = request
         self.siblings.attempt_started(server)
+        if self.requests.fleet_admission:
+            self.requests.fleet_admission.attempt_started(server)
         client.open_upstream(upstream_endpoint_of(server), max_wait)
 
     def may_connect(self, upstream: UpstreamConnection) -> bool:
--- a/tests/test_fleet_processes.py
+++ b/tests/test_fleet_processes.py
@@ -214,6 +214,23 @@
     assert len(opened) >= 6 and not [line for line in opened if f"OPEN {quiet.address[1]:x}0000" in line]
 
 
+def test_mark_of_an_outlier_does_not_lapse_while_it_is_renewed(fleets: Fleets) -> None:
+    # Guards against marks that end before the next evaluation of the members' observations renews them.
+    fleet = fleets(5, servers=5, failing_servers=1)
+    fleet.wait_until_connected()
+    bad, quiet = fleet.servers[-1], fleet.members[4]
+    loads = [ClientLoad(member) for member in fleet.members[:4]]
+    wait_until(lambda: "is marked as an outlier: several members found it failing" in quiet.log_text())
+    pause = threading.Event()
+    for key in range(120):
+        send_request(quiet, key=key * 7919)
+        pause.wait(0.02)  # spreads the requests over more than two evaluations
+    for load in loads:
+        load.stop()
+    opened = [bad.next_opening()[0] for _ in range(bad.openings.qsize())]
+    assert not [line for line in opened if f"OPEN {quiet.address[1]:x}0000" in line]
+
+
 def test_forged_and_malformed_messages_grant_nothing(fleets: Fleets) -> None:
     fleet = fleets(4, budget=[budget_table(LIMIT, WINDOW)])
     fleet.wait_until_connected()
