A message in time no longer ends a fleet's mark of a failing server

Callers of a fleet with probes or message times were sent to a server that several members had found failing: it answered a probe or a standing session in time, which ended the mark until the next second.

Cause: the mark was kept in slow_until, which message times set and end. Found by reading, while looking for the fault of the lapsing marks elsewhere. Evidence: the new test test_fast_message_does_not_end_the_mark_of_an_outlier fails on the old text (mark_slow in place of mark_outlier): the request goes to the marked server.

Change: outlier_until is a field of its own, and counts wherever slow_until did. It was not stored before but as part of slow_until; after a restart the next evaluation marks again.

--- a/brambleplank/decisions/capacity_shortage.py
+++ b/brambleplank/decisions/capacity_shortage.py
@@ -37,7 +37,7 @@
         self.server_pool.load.refresh(now)
         self.checked_at = now
         servers = self.servers_with_evidence(now) if now < self.overloaded_until else []
-        overloaded = sum(now < max(server.slow_until, server.dropping_until) for server in servers)
+        overloaded = sum(now < max(server.avoided_until(), server.dropping_until) for server in servers)
         is_short = overloaded > max(MAX_OVERLOADED, len(servers) / SHORTAGE_DIVISOR)
         if is_short != self.is_short:
             self.is_short = is_short
--- a/brambleplank/decisions/health_checks.py
+++ b/brambleplank/decisions/health_checks.py
@@ -63,7 +63,7 @@
     def probe_interval(self, now: float, server: Server) -> float:
         """Returns the seconds until the server's next probe."""
         usual_rate_from = max(
-            server.slow_until, self.endpoints.first_list_at + INITIAL_PERIODS * REPORT_PERIOD
+            server.avoided_until(), self.endpoints.first_list_at + INITIAL_PERIODS * REPORT_PERIOD
         )
         return REPORT_PERIOD * (PROBE_PERIODS if now >= usual_rate_from else 1)
 
@@ -84,4 +84,4 @@
         if not settings.may_message_peers:
             return False
         is_unreported = now >= server.message_time_reported_at + 2 * REPORT_PERIOD
-        return server.zone == settings.zone or server.slow_until > now or is_unreported
+        return server.zone == settings.zone or server.avoided_until() > now or is_unreported
--- a/brambleplank/decisions/overload.py
+++ b/brambleplank/decisions/overload.py
@@ -46,7 +46,7 @@
             return Penalty.HARMFUL
         if now < server.overdue_until and self.shortage.is_short_of_capacity(now):
             return Penalty.HARMFUL
-        if now < server.slow_until:
+        if now < server.avoided_until():
             return Penalty.SLOW
         if server.connections or not request.reconnecting or self.server_pool.load_reports.peers:
             return Penalty.NONE
--- a/brambleplank/decisions/recovery_ramp.py
+++ b/brambleplank/decisions/recovery_ramp.py
@@ -19,7 +19,7 @@
 
     def penalty(self, now: float, request: Request, server: Server) -> Penalty:
         """Returns HARMFUL for a server that has had as many recent attempts as its recovery allows."""
-        overloaded_until = max(server.slow_until, server.dropping_until)
+        overloaded_until = max(server.avoided_until(), server.dropping_until)
         doublings = min(MAX_DOUBLINGS, (now - overloaded_until) / DOUBLING_PERIOD)
         recent = server.recent_attempts.value(now, self.settings.overload_window)
         return Penalty.HARMFUL if recent >= 2**doublings and not request.resumed else Penalty.NONE
--- a/brambleplank/net/fleet_link.py
+++ b/brambleplank/net/fleet_link.py
@@ -143,7 +143,7 @@
         servers = self.servers_by_tag()
         ejected = {servers[tag] for tag in self.fleet.server_observer.ejected_servers(now, list(servers))}
         for server in ejected:
-            server.mark_slow(now + EJECTION_DURATION)
+            server.mark_outlier(now + EJECTION_DURATION)
             if server not in self._ejected_servers:
                 self._log.write_line(
                     f"fleet: {server.id} is marked as an outlier: several members found it failing"
@@ -280,7 +280,7 @@
         self._attempts_at_outliers += 1
         if not is_logged_occurrence(self._attempts_at_outliers):
             return
-        since_end = self._clock.now() - server.slow_until
+        since_end = self._clock.now() - server.outlier_until
         reason = f"its mark ended {since_end:.3f} s ago" if since_end >= 0 else "no server is better"
         self._log.write_line(
             f"fleet: attempt at {server.id} although it is marked as an outlier: {reason}; "
--- a/brambleplank/records.py
+++ b/brambleplank/records.py
@@ -90,6 +90,7 @@
         self.slow_until = 0.0  # until when it counts as slow,
         self.overdue_until = 0.0  # as one whose messages miss the shortest latency objective,
         self.dropping_until = 0.0  # and as dropping connections
+        self.outlier_until = 0.0  # until when it counts as failing, as several other proxies report
         self.next_probe_at = 0.0
         self.message_time_reported_at = 0.0  # when the server or a peer last reported its message time
         self.slow_start_slot = NO_SLOT  # number of the slot that `slow_start_sent` belongs to
@@ -97,9 +98,17 @@
         self.connections_by_peer: dict[Any, int] = {}  # as last reported by each peer
         self.connections_elsewhere = 0  # sum of `connections_by_peer`
 
-    def mark_slow(self, until: float) -> None:
-        """Marks the server as slow until then, as several other proxies report; never shortens the time."""
-        self.slow_until = max(self.slow_until, until)
+    def mark_outlier(self, until: float) -> None:
+        """Marks the server as an outlier until then, as several other proxies found it failing.
+
+        Kept apart from `slow_until`, which a fast message ends: a server that fails new requests may still
+        answer messages and probes in time.
+        """
+        self.outlier_until = max(self.outlier_until, until)
+
+    def avoided_until(self) -> float:
+        """Returns until when it counts as slow or as an outlier."""
+        return max(self.slow_until, self.outlier_until)
 
 
 @dataclass(eq=False)
--- a/tests/test_overload_detection.py
+++ b/tests/test_overload_detection.py
@@ -19,6 +19,19 @@
     assert fake.request(7).attempts[0].server is owner
 
 
+def test_fast_message_does_not_end_the_mark_of_an_outlier(fake: FakeHost) -> None:
+    # Guards against requests at a server that fails them, but answers messages and probes in time.
+    request = fake.establish(fake.request(7))
+    owner = request.attempts[0].server
+    fake.end_attempt(request, AttemptOutcome.OK, complete=True)
+    fake.advance(60.0)  # its attempt no longer counts
+    owner.mark_outlier(fake.now + 3.0)
+    fake.balancer.message_time_reported(fake.now, owner, 0.01)
+    assert fake.request(7).attempts[0].server is not owner
+    fake.advance(6.0)
+    assert fake.request(7).attempts[0].server is owner
+
+
 def test_dropped_client_is_not_sent_back_at_once(fake: FakeHost) -> None:
     request = fake.establish(fake.request(7))
     fake.end_attempt(request, AttemptOutcome.RESET, complete=True)
