--- a/tests/programs.py
+++ b/tests/programs.py
@@ -5,6 +5,7 @@
 import copy
 import json
 import os
+import re
 import signal
 import socket
 import subprocess
@@ -30,6 +31,16 @@
 )  # prefixes of environment variables that the program reads
 
 
+PROGRAM_NUMBERS = count()  # of the programs that this test process starts
+REQUEST_ID_MARK = "9b1f"  # beginning of the ids of requests that tests open through `Program`
+REQUEST_ID = re.compile(rf"\b{REQUEST_ID_MARK}[0-9a-f]{{12}}\b")
+
+
+def next_request_prefix() -> str:
+    """Returns the beginning of a program's request ids, which no other program on this machine has."""
+    return f"{REQUEST_ID_MARK}{os.getpid():06x}{next(PROGRAM_NUMBERS) % 256:02x}"
+
+
 def start_process(config: Path | None, code: str = "", log: Any = subprocess.PIPE) -> subprocess.Popen[str]:
     """Starts the program, or the Python `code` instead. Standard error goes to `log`."""
     environment = {
@@ -67,6 +78,7 @@
         self.config_path.write_text(json.dumps(self.config))
         self.log_lines: list[str] = []
         self.request_numbers = count(1)
+        self.request_prefix = next_request_prefix()
         self.successors: list[Program] = []
         self.launch(folder, patch)
 
@@ -122,9 +134,13 @@
         extra_fields: str = "",
     ) -> LineConnection:
         """Connects a new client, sends its OPEN and returns the connection."""
-        number = next(self.request_numbers)
+        request_id = self.request_id(next(self.request_numbers))
         fields = f"c={traffic_class},t=acme,d={deadline_ms}{extra_fields}"
-        return self.connect(f"OPEN 9b1f03aa5c7e{number:04x} {key} {fields}")
+        return self.connect(f"OPEN {request_id} {key} {fields}")
+
+    def request_id(self, number: int) -> str:
+        """Returns the id of the request with this number, counted from 1."""
+        return f"{self.request_prefix}{number:04x}"
 
     def upgrade(self, patch: str = "", **changes: Any) -> Program:
         """Starts the next process of the same proxy, which has its own operator address, and returns it."""
@@ -236,7 +252,12 @@
         return programs[-1]
 
     yield start
+    logs = []
     for program in [each for first in programs for each in (first, *first.successors)]:
         program.process.kill()
         program.process.wait()
-        print(program.kept_log(), end="")  # pytest shows it with a failure
+        logs.append(program.kept_log())
+        print(logs[-1], end="")  # pytest shows it with a failure
+    prefixes = tuple(program.request_prefix for program in programs)
+    foreign = [found for log in logs for found in REQUEST_ID.findall(log) if not found.startswith(prefixes)]
+    assert not foreign, f"requests of another test reached this one's programs: {foreign}"
--- a/tests/test_sockets.py
+++ b/tests/test_sockets.py
@@ -52,14 +52,14 @@
     ping_client.send_line("PING")
     assert ping_client.read_line() == "PONG"
     line, server_side = server.next_opening()
-    assert line == "OPEN 9b1f03aa5c7e0001 7f c=feed,t=acme,d=300,h=12,again=1"
+    assert line == f"OPEN {program.request_id(1)} 7f c=feed,t=acme,d=300,h=12,again=1"
     client.send_line("M 1")
     assert server_side.read_line() == "M 1"
     server_side.send_line("LOAD 0.5")
     server_side.send_line("BYE")
     server_side.close()
     assert [client.read_line() for _ in range(3)] == ["LOAD 0.5", "BYE", ""]
-    assert "end bye 9b1f03aa5c7e0001 server=s0 connects=1" in program.stop()
+    assert f"end bye {program.request_id(1)} server=s0 connects=1" in program.stop()
 
 
 def test_lines_in_pieces_arrive_whole(start_each_kind: StartProgram) -> None:
@@ -219,7 +219,8 @@
     program = start_each_kind(server_list(one, other))
     for number, (name, server) in enumerate((("s0", one), ("s1", other)), 1):
         assert program.open_request(extra_fields=f",at={name}").read_line() == "UP r1"
-        assert server.next_opening()[0] == f"OPEN 9b1f03aa5c7e000{number} 7f c=feed,t=acme,d=1500,at={name}"
+        opening = f"OPEN {program.request_id(number)} 7f c=feed,t=acme,d=1500,at={name}"
+        assert server.next_opening()[0] == opening
     unknown = program.open_request(extra_fields=",at=s9")
     assert unknown.read_line() == "FAIL" and unknown.read_line() == ""
 
--- a/tests/test_untrusted_clients.py
+++ b/tests/test_untrusted_clients.py
@@ -66,7 +66,7 @@
     start_each_kind: StartProgram,
 ) -> None:
     program, server, client, server_side = start_with_session(start_each_kind)
-    opening = "OPEN 9b1f03aa5c7e0001 7f c=feed,d=900"
+    opening = f"OPEN {program.request_id(1)} 7f c=feed,d=900"
     assert program.connect(opening).read_line() == "ERR"
     client.close()
     assert server_side.read_line() == ""
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -294,7 +294,7 @@
         pass
     new = wait_until_ready(program.upgrade(known={"seq": 41, "whole": True, "hosts": []}))
     assert {program.open_request(f"{key:x}").read_line() for key in range(8)} == {"UP other"}
-    assert program.connect("OPEN 9b1f03aa5c7e0001 7f c=feed,t=acme,d=900").read_line() == "ERR"
+    assert program.connect(f"OPEN {program.request_id(1)} 7f c=feed,t=acme,d=900").read_line() == "ERR"
     assert "from=101" in program.discovery.requests.get(timeout=15)[0]
     stop_gracefully(program)
     assert json.loads(new.config_path.read_text())["known"]["hosts"] == []
