A log that nobody reads no longer stops the process

Callers: once the reader of standard error stood still and its pipe was full, no client got an answer, no list was followed and no timer ran.

Cause: LogWriter printed to a blocking pipe on the reactor's thread.

Change: pipes and sockets are written without waiting, through a descriptor of our own, as the shared one's flags belong to others too; 256 KiB wait in a buffer, further lines are dropped and counted. Files and terminals are as before. Way rejected: a writer thread, which would lose lines at a kill that are written at once now.

--- a/brambleplank/net/proxy.py
+++ b/brambleplank/net/proxy.py
@@ -103,6 +103,7 @@
             clock, self.invariants, self.requests.clients, self.requests.abort_overdue
         )
         clock.call_later(SWEEP_INTERVAL, unanswered.sweep)
+        clock.call_later(SWEEP_INTERVAL, self.flush_log)
 
     # Collaborators that are set after construction.
 
@@ -333,6 +334,11 @@
         """Writes a line to the proxy's log."""
         self.log_writer.write_line(text)
 
+    def flush_log(self) -> None:
+        """Writes log lines that wait for their reader, and schedules the next call."""
+        self.clock.call_later(SWEEP_INTERVAL, self.flush_log)
+        self.log_writer.flush()
+
     # Exceptions and shutdown.
 
     def call_or_abort(self, client: ClientConnection, call: Callable[..., None], *args: object) -> None:
--- a/tests/soak/proxies.py
+++ b/tests/soak/proxies.py
@@ -21,7 +21,7 @@
 # Prefixes each log line with the monotonic time that the records use, as faults step the wall clock.
 MONOTONIC_LOG_PATCH = override(
     "brambleplank.net.log:LogWriter.print_line",
-    "staticmethod(lambda line: print(f'{time.monotonic():.3f} {line}', file=sys.stderr, flush=True))",
+    "lambda self, line: print(f'{time.monotonic():.3f} {line}', file=sys.stderr, flush=True) is None",
 )
 BOOTSTRAP_CODE = "{patch}\nimport runpy\nrunpy.run_module('brambleplank', run_name='__main__')"
 # As in `run` of deploy/balancer.toml: SIGHUP would end Python before its handler is installed.
