A handed-off connection that cannot be adopted is closed

Callers: in an upgrade, a client whose stored form is no JSON object was left open in the new process, with no answer and no end.

Cause: the form was checked before session_transfer.adopt, which closes the descriptors on errors. Found by reading. Evidence: test_connection_that_cannot_be_adopted_is_closed fails on the old text for null, a text and a list (open after 15 s); all five forms are closed now.

Change: the check is part of the decoding inside adopt.

--- a/brambleplank/frontends/line/session_transfer.py
+++ b/brambleplank/frontends/line/session_transfer.py
@@ -104,8 +104,9 @@
         return stored
 
     @classmethod
-    def decode(cls, stored: dict[str, Any]) -> TransferredConnection:
+    def decode(cls, stored: Any) -> TransferredConnection:
         """Decodes the stored form. Raises InvalidConfigurationError, which names the key."""
+        check_value(stored, "flow", dict)
         for key, kind in (("halves", list), ("unsent", list), ("since", float), ("pinged", bool)):
             check_value(stored.get(key), key, kind)
         sides = [
@@ -202,7 +203,7 @@
         raise InvalidConfigurationError(f"kind: {type(error).__name__} {error}") from None
 
 
-def adopt(proxy: Proxy, stored: dict[str, Any], descriptors: list[int]) -> None:
+def adopt(proxy: Proxy, stored: Any, descriptors: list[int]) -> None:
     """Continues a connection that another process has handed off, given in its stored form.
 
     Descriptors that are used are duplicated, and all given ones are closed, also after an error. Raises
--- a/brambleplank/platform/connection_transfer.py
+++ b/brambleplank/platform/connection_transfer.py
@@ -10,7 +10,6 @@
 from brambleplank.frontends.line.client_connections import LineClientConnection
 from brambleplank.interfaces import ClientConnection
 from brambleplank.net.proxy import Proxy
-from brambleplank.platform import stored_values
 from brambleplank.platform.channel import Channel
 from brambleplank.platform.holdings import Holdings
 from brambleplank.platform.upgrade_messages import SessionAdopted, SessionMessage
@@ -94,7 +93,6 @@
         channel.send(SessionAdopted())
         self.holdings.descriptors_adopted(channel, message.sockets)
         try:
-            session = stored_values.decode_object(message.session, "flow")
-            session_transfer.adopt(self.proxy, session, descriptors)
+            session_transfer.adopt(self.proxy, message.session, descriptors)
         except InvalidConfigurationError as error:
             self.proxy.log(f"upgrade: a connection of the previous process could not be adopted: {error}")
--- a/tests/test_handoff_state.py
+++ b/tests/test_handoff_state.py
@@ -4,6 +4,8 @@
 
 import copy
 import json
+import socket
+from types import SimpleNamespace
 from typing import Any
 
 import pytest
@@ -17,9 +19,12 @@
 from brambleplank.net.clock import Clock
 from brambleplank.net.log import LogWriter
 from brambleplank.net.proxy import Proxy
+from brambleplank.platform.connection_transfer import ConnectionTransfer
 from brambleplank.platform.connections_elsewhere import record_connections_elsewhere
 from brambleplank.platform.handoff_state import HandoffState
+from brambleplank.platform.upgrade_messages import SessionMessage
 from tests.sample_settings import DECODED_SETTINGS, endpoint_list
+from tests.waiting import TEST_TIMEOUT
 
 IDS = st.sampled_from("abc")
 
@@ -131,3 +136,15 @@
     assert (version, is_whole, decoded_addresses) == (7, True, addresses)
     assert [e[:5] for e in decoded] == [e[:5] for e in listed]
     assert all(abs(left[5] - right[5]) < 1e-6 for left, right in zip(decoded, listed, strict=True))
+
+
+@pytest.mark.parametrize("stored", [None, "x", [1], {}, {"halves": 5}])
+def test_connection_that_cannot_be_adopted_is_closed(stored: Any) -> None:
+    # Guards against a client that waits forever on a descriptor which nobody owns.
+    proxy, _ = make_proxy()
+    client, ours = socket.socketpair()
+    channel: Any = SimpleNamespace(take_descriptors=lambda _: [ours.detach()], send=lambda _: None)
+    holdings: Any = SimpleNamespace(descriptors_adopted=lambda *_: None)
+    ConnectionTransfer(proxy, holdings).adopt(channel, SessionMessage(stored, 1))
+    client.settimeout(TEST_TIMEOUT)
+    assert client.recv(1) == b""
