Soak: a change cut off in pieces counts as undelivered

Callers saw nothing: the soak blamed proxies.

Evidence: test_change_that_is_cut_off_in_pieces_counts_as_undelivered fails on the old text (1931.973616 where 1931.973557 is the change). Change: pieces count as unsent from the change's own time. This narrows the check by the case that the test traces only.

--- a/tests/soak/discovery.py
+++ b/tests/soak/discovery.py
@@ -43,14 +43,17 @@
         self.unsent_since = inf
         self.sending: asyncio.Task[None] | None = None  # asyncio holds only weak references to tasks
 
-    def send(self, text: str, in_pieces: bool) -> None:
-        """Sends a line as one chunk, at once or in pieces, after any unsent chunks."""
+    def send(self, text: str, in_pieces: bool, since: float | None = None) -> None:
+        """Sends a line as one chunk, at once or in pieces, after any unsent chunks.
+
+        `since` is when the text came to be, if it counts as unsent from then on; otherwise from now on.
+        """
         data = encode_chunk(text)
         if not in_pieces and not self.unsent:
             self.writer.write(data)
             return
         self.unsent.append(data)
-        self.unsent_since = min(self.unsent_since, time.monotonic())
+        self.unsent_since = min(self.unsent_since, time.monotonic() if since is None else since)
         if self.sending is None:
             self.sending = asyncio.ensure_future(self.send_pieces())
 
@@ -166,7 +169,7 @@
         live = [watch for watch in self.watches if watch.silent_since == inf]
         for watch in live:
             with suppress(RuntimeError, OSError):
-                watch.send(text, self.sends_pieces)
+                watch.send(text, self.sends_pieces, now)
         in_pieces = " in pieces" if self.sends_pieces else ""
         text = f"{now:.3f} sent{in_pieces} to {len(live)} of {len(self.watches)} watches"
         if live or not self.watches:
--- a/tests/test_soak_records.py
+++ b/tests/test_soak_records.py
@@ -92,6 +92,19 @@
     run_with_agent(scenario)
 
 
+def test_change_that_is_cut_off_in_pieces_counts_as_undelivered() -> None:
+    # Guards against a drain that counts from a change of which the proxy got only a part.
+    async def scenario(agent: DiscoveryAgent) -> None:
+        await open_watch(agent)
+        agent.sends_pieces = True
+        notified_at = agent.receive_changes([entry("s0")]).notified_at
+        assert agent.undelivered_since <= notified_at
+        agent.reset_watches()
+        assert agent.undelivered_since <= notified_at
+
+    run_with_agent(scenario)
+
+
 def test_silent_watch_counts_as_open_until_its_proxy_closes_it() -> None:
     # Guards against a proxy that counts as notified before a change was made, or late with no watch open.
     async def scenario(agent: DiscoveryAgent) -> None:
