Soak: a session is judged by the processes that could hold it at its end

Evidence: test_session_ends_by_failing_reads_in_the_process_that_adopted_it fails on the old text. Change: each process of the proxy that lived at the session's end is asked. Stricter in one way: a process that had ended before can no longer excuse it (the test's other two cases).

--- a/tests/soak/judge.py
+++ b/tests/soak/judge.py
@@ -88,6 +88,18 @@
         """Whether an injected fault broke the process's connections around that time."""
         return any(since <= at <= until + RESET_AFTER for since, until in process.reset_spans)
 
+    def session_was_reset(self, client: ClientRecord) -> bool:
+        """Whether an injected fault broke connections of a process that could hold the session at its end.
+
+        An upgrade hands sessions over to a newer process of the same proxy.
+        """
+        at = client.ended_at
+        return any(
+            self.connections_were_reset(run, at)
+            for run in self.records.processes
+            if run.proxy == client.proxy and run.started_at <= at <= run.ended_at + RESET_AFTER
+        )
+
     def was_killed(self, client: ClientRecord, until: float) -> bool:
         """Whether a process of the client's proxy was killed between OPEN and `until`.
 
@@ -206,7 +218,6 @@
         """Checks that UP names the server of the last attempt, that the proxy doesn't cut the session off
         without MOVE, and that an end of the session by the server is forwarded in time.
         """
-        process = self.process_of(client)
         if not client.is_established or client.misbehaviour is not None:
             return
         up_line = client.answers[0][1]
@@ -216,8 +227,7 @@
         if self.was_killed(client, client.ended_at + KILL_SEEN_WITHIN):
             return
         ended_by_server = client.request_id in self.records.sessions_ended_by_server
-        was_reset = self.connections_were_reset(process, client.ended_at)
-        if client.was_cut_off and not ended_by_server and not was_reset:
+        if client.was_cut_off and not ended_by_server and not self.session_was_reset(client):
             self.report("cut off without MOVE", f"{client.request_id} at n{client.proxy}")
         ended = self.records.sessions_ended_by_server.get(client.request_id, inf)
         lag = self.checker_lag(ended, min(client.ended_at, ended + 8.0))
--- a/tests/test_soak_records.py
+++ b/tests/test_soak_records.py
@@ -157,6 +157,32 @@
     ]
 
 
+def session_violations(reset_run: int, run_ended_at: float) -> list[str]:
+    """Checks a session that is cut off at 13.0 s; the proxy's second process adopted it at 11.0 s.
+
+    Reads fail in one of the processes when the session ends.
+    """
+    records = Records()
+    stopped: dict[str, Any] = {"stop_requested_at": 11.5, "exit_code": 0, "log_path": "/dev/null"}
+    records.processes.append(ProcessRun(0, 0.0, ended_at=12.0, **stopped))
+    records.processes.append(ProcessRun(0, 11.0, ended_at=run_ended_at, **stopped))
+    records.processes[reset_run].reset_spans.append((12.5, 13.5))
+    answers = [(10.1, "UP s1-1")]
+    client = ClientRecord("1", "feed", 0, 0, 1.0, sent_at=10.0, answers=answers, ended_at=13.0)
+    client.was_cut_off = True
+    records.clients.append(client)
+    records.attempts.append(Attempt("1", "feed", "s1", 10.0, 10.0, "UP", ended_at=13.0))
+    checker = RecordChecker(records, draw_settings(Random(1), 6), 40.0, 6)
+    return [violation.rule for violation in checker.check_all()]
+
+
+def test_session_ends_by_failing_reads_in_the_process_that_adopted_it() -> None:
+    # Guards against blaming a proxy for a session whose adopting process had failing reads played on it.
+    assert session_violations(reset_run=1, run_ended_at=inf) == []
+    assert session_violations(reset_run=0, run_ended_at=inf) == ["cut off without MOVE"]
+    assert session_violations(reset_run=1, run_ended_at=12.0) == ["cut off without MOVE"]
+
+
 def slow_start_violations(proxies_notified: int) -> list[str]:
     """Checks a server in slow start that gets 12 attempts from each of three proxies, some not notified."""
     records = Records(server_starts={"s1": 10.0})
