Soak: a violation keeps its logs, and overlapping attempts say what was recorded

Change: the folder of a seed with violations is copied, with its faults, and the place is printed; the line of two attempts lists the OPEN, the delays from 3 ms on, for reading only, and the proxy's log lines of the request. No bound and no allowance changed.

--- a/tests/soak/judge.py
+++ b/tests/soak/judge.py
@@ -176,9 +176,7 @@
                 earlier.received_at, min(earlier.ended_at, later.received_at + OVERLAP_LAG_WINDOW)
             )
             if earlier.ended_at > later.received_at + SLACK + lag:
-                overlap = earlier.ended_at - later.received_at
-                details = f"{earlier.server} until {overlap:.3f} s after {later.server}"
-                self.report("two attempts out", f"{client.request_id} {details}")
+                self.report("two attempts out", self.overlap_details(client, earlier, later))
         executed = [attempt for attempt in attempts if attempt.may_have_run]
         if not executed:
             return
@@ -188,6 +186,24 @@
         if effect == "by_key":
             self.check_deduplicated(client, attempts, executed[0])
 
+    def overlap_details(self, client: ClientRecord, earlier: Attempt, later: Attempt) -> str:
+        """Returns what the servers, this process and the proxy recorded of two overlapping attempts."""
+        process = self.process_of(client)
+        overlap = earlier.ended_at - later.received_at
+        delays = [
+            f"{at:.3f} +{late:.3f}"
+            for at, late in self.records.small_lags
+            if later.received_at - late <= at <= earlier.ended_at
+        ]
+        parts = [
+            f"{client.request_id} {earlier.server} until {overlap:.3f} s after {later.server}",
+            f"OPEN at {later.server} {later.began_at:.3f} to {later.received_at:.3f}",
+            f"delays of this process that do not count: {', '.join(delays) or 'none'}",
+            f"log of n{process.proxy}, {process.log_path}:",
+            *log_lines_about(process, client.request_id),
+        ]
+        return "\n        ".join(parts)
+
     def check_not_repeated(self, client: ClientRecord, attempts: list[Attempt], first: Attempt) -> None:
         """Checks that a non-idempotent request is neither repeated nor rejected once it may have run."""
         for later in attempts:
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -3,8 +3,11 @@
 from __future__ import annotations
 
 import asyncio
+import shutil
+import tempfile
 from collections import Counter
 from dataclasses import dataclass
+from pathlib import Path
 
 from tests.soak.judge import RecordChecker, Violation
 from tests.soak.records import Records
@@ -21,6 +24,7 @@
     seed: int
     records: Records
     violations: list[Violation]
+    kept_logs: Path | None = None  # a copy of the logs, if a rule was violated
 
     @property
     def is_inconclusive(self) -> bool:
@@ -46,6 +50,8 @@
             shown[violation.rule] += 1
             if shown[violation.rule] <= max_per_rule:
                 lines.append(f"    {violation.rule}: {violation.details}")
+        if self.kept_logs is not None:
+            lines.append(f"    logs kept in {self.kept_logs}")
         return "\n".join(lines)
 
 
@@ -54,4 +60,19 @@
     simulation = Simulation(plan)
     records = asyncio.run(simulation.run(inject_faults(simulation)))
     violations = RecordChecker(records, simulation.settings, plan.rate, plan.servers).check_all()
-    return RunResult(plan.seed, records, violations)
+    # Runs with an injected defect violate rules on purpose.
+    kept_logs = keep_logs(plan, records) if violations and not plan.patch else None
+    return RunResult(plan.seed, records, violations, kept_logs)
+
+
+def keep_logs(plan: SimulationPlan, records: Records) -> Path:
+    """Copies the logs of a run with violations, as its folder may be removed or used again.
+
+    Returns the copy's folder, which also lists the injected faults.
+    """
+    kept = Path(tempfile.mkdtemp(prefix=f"soak-seed-{plan.seed}-")) / "logs"
+    # Sockets of processes that were killed may still be there, and cannot be copied.
+    shutil.copytree(plan.folder, kept, ignore=shutil.ignore_patterns("*.sock"))
+    faults = "".join(f"{at:.3f} {text}\n" for at, text in records.injected_faults)
+    (kept / "faults").write_text(faults)
+    return kept
--- a/tests/test_soak_records.py
+++ b/tests/test_soak_records.py
@@ -4,6 +4,8 @@
 
 import asyncio
 import json
+import shutil
+import socket
 import time
 from collections.abc import Callable, Coroutine
 from math import inf
@@ -18,7 +20,8 @@
 from tests.soak.judge import RecordChecker, Violation
 from tests.soak.proxies import Proxy
 from tests.soak.records import Attempt, ClientRecord, NotifiedChange, ProcessRun, Records
-from tests.soak.simulation import Subnet
+from tests.soak.run import keep_logs
+from tests.soak.simulation import SimulationPlan, Subnet
 from tests.waiting import POLL_INTERVAL, TEST_TIMEOUT
 
 UNREACHABLE = {"fail": {"connect": (1.0, "ENETUNREACH")}}
@@ -148,6 +151,9 @@
     # Guards against false reports of overlapping attempts that are due to lag of the simulating process.
     assert not violations_of_two_attempts(10.04, [])
     assert [violation.rule for violation in violations_of_two_attempts(10.08, [])] == ["two attempts out"]
+    assert (
+        "delays of this process that do not count: none" in violations_of_two_attempts(10.08, [])[0].details
+    )
     assert not violations_of_two_attempts(10.08, [(10.01, 0.06)])
     assert [violation.rule for violation in violations_of_two_attempts(10.18, [(10.01, 0.06)])] == [
         "two attempts out"
@@ -215,3 +221,19 @@
     assert reused.number == first.number
     reused.close()
     second.close()
+
+
+def test_logs_of_a_run_with_violations_are_kept(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    # Guards against a violation that cannot be traced, as the next run has removed its logs.
+    folder = tmp_path / "seed"
+    (folder / "n0").mkdir(parents=True)
+    (folder / "n0" / "log").write_text("12.0 end broke 1a\n")
+    monkeypatch.chdir(folder)  # the path of a Unix socket is short
+    socket.socket(socket.AF_UNIX).bind("n0.sock")
+    kept = keep_logs(SimulationPlan(7, folder, 6, 6, 7.0, 40.0), Records(injected_faults=[(1.5, "kill n0")]))
+    try:
+        shutil.rmtree(folder)
+        assert (kept / "n0" / "log").read_text() == "12.0 end broke 1a\n"
+        assert (kept / "faults").read_text() == "1.500 kill n0\n"
+    finally:
+        shutil.rmtree(kept.parent)
