A repeated publish request for a text in force is not refused

Callers saw nothing; an operator could read "not published: edition 2 came first" of the text that is version 2, if the announcement was lost on its way.

Cause: a member repeats its request until it is answered; a repetition queued while its own proposal is open was judged afterwards by the version that it replaces alone. Found by reading. Evidence: test_repeated_request_for_a_published_text_is_not_refused fails on the old text: (2, "") is followed by (0, "edition 2 came first; offer it again").

Change: a queued request is judged as one that arrives.

--- a/brambleplank/fleet/versions/proposer.py
+++ b/brambleplank/fleet/versions/proposer.py
@@ -146,15 +146,27 @@
         """Queues a member's request to publish a text, unless it can be answered at once."""
         if self.leader_since is None:
             return
-        version = self.acceptor.version
-        if request.digest == self.acceptor.digest:
-            self.respond(member, request.digest, version, "")
-        elif request.replaces != version:
-            self.respond(member, request.digest, 0, self.superseded_reason())
+        publication = PublicationRequest(request.digest, request.replaces)
+        if self.is_decided(publication):
+            self.respond_decided(member, publication)
         elif self.proposal is not None and self.proposal.digest != request.digest:
             self.respond(member, request.digest, 0, OTHER_TEXT_PROPOSED)
         else:
-            self.queued_requests.setdefault(member, PublicationRequest(request.digest, request.replaces))
+            self.queued_requests.setdefault(member, publication)
+
+    def is_decided(self, request: PublicationRequest) -> bool:
+        """Returns whether the text is in force, or another one has replaced what it was to replace."""
+        return request.digest == self.acceptor.digest or request.replaces != self.acceptor.version
+
+    def respond_decided(self, member: int, request: PublicationRequest) -> None:
+        """Sends a member the outcome of a decided request.
+
+        A member repeats its request until it is answered, so its text may have come into force meanwhile.
+        """
+        if request.digest == self.acceptor.digest:
+            self.respond(member, request.digest, self.acceptor.version, "")
+        else:
+            self.respond(member, request.digest, 0, self.superseded_reason())
 
     def superseded_reason(self) -> str:
         """Returns the reason for refusing a text that replaces a version no longer in force."""
@@ -198,9 +210,9 @@
     def propose_queued(self, now: float) -> None:
         """Proposes the text of the oldest queued request, once it is stored here."""
         member, request = next(iter(self.queued_requests.items()))
-        if request.replaces != self.acceptor.version:
+        if self.is_decided(request):
             del self.queued_requests[member]
-            self.respond(member, request.digest, 0, self.superseded_reason())
+            self.respond_decided(member, request)
         elif self.texts.fetch(request.digest, member):
             del self.queued_requests[member]
             self.propose(now, self.acceptor.highest_version + 1, request.digest, member)
