A list that stops after its head is requested beside it under short drain graces

Callers: with a drain grace under 0.65 s, requests could go to a draining server after it, if discovery answered a list's head and then nothing as it went down and came back.

Cause: a response whose head came was taken for the open watch, so the request beside it was not made; the body was waited for 0.4 s. Found by reading. Evidence: test_list_that_stops_after_its_head_is_requested_beside_it fails on the old text: the first request had timed out before the second was made.

Change: a request is pending until the first byte of the body; the first body to begin becomes the watch. Two tests that build a Watch give it its request.

--- a/brambleplank/discovery/platform/discovery.py
+++ b/brambleplank/discovery/platform/discovery.py
@@ -43,7 +43,7 @@
 
 
 class Watch(LineReceiver):
-    """The response body of an open watch.
+    """The response body of a watch, which is open from its first byte on.
 
     Only complete lines keep a watch alive. A body that trickles in, or a line that never ends, times out as
     if nothing had been received.
@@ -54,15 +54,16 @@
 
     transport: Any = None
 
-    def __init__(self, discovery: Discovery) -> None:
+    def __init__(self, discovery: Discovery, request: WatchRequest) -> None:
         self.discovery = discovery
+        self.request = request
         self.lines: list[bytes] = []  # of an indented list that is still incomplete
         self.open_brackets = 0  # nesting depth after `lines`
         self.list_size = 0  # bytes in `lines`
         self.incomplete_since = 0.0  # when an incomplete line or list began; 0: none
         self.incomplete_bytes = 0
         self.first_list_timeout = FIRST_LIST_TIMEOUT  # 0 after it; later lists come in one piece
-        self.timer: CallAfterReads | None = None  # for the first byte or the next complete line
+        self.timer: CallAfterReads | None = None  # for the next complete line
 
     def start_timer(self, timeout: float) -> None:
         """Restarts the timer for the next complete line, with a timeout in seconds."""
@@ -84,13 +85,22 @@
         elif self.discovery.watch is self:
             self.discovery.watch_failed("silent")
 
-    def connectionMade(self) -> None:  # noqa: N802
-        """Starts the timer for the first byte; the timeout counts from the request."""
-        deadline = self.discovery.requested_at + RESPONSE_TIMEOUT
+    def opened(self) -> None:
+        """Starts the timer for the first line, as the watch has received its first byte."""
+        deadline = self.request.requested_at + RESPONSE_TIMEOUT
         self.start_timer(max(0.0, deadline - self.discovery.proxy.clock.now()))
 
+    def close(self) -> None:
+        """Closes the connection."""
+        self.stop_timer()
+        if self.transport is not None:
+            self.transport.loseConnection()
+
     def dataReceived(self, data: bytes) -> None:  # noqa: N802
         """Tracks the start and the size of an incomplete line or list."""
+        if self.discovery.watch is not self and not self.discovery.open_watch(self):
+            self.close()
+            return
         if not self.incomplete_since:
             self.incomplete_since = self.discovery.proxy.clock.now()
         self.incomplete_bytes += len(data)
@@ -146,6 +156,8 @@
         self.stop_timer()
         if self.discovery.watch is self:
             self.discovery.watch_failed("ended")
+        else:
+            self.discovery.request_failed("ended", self.request)
 
 
 class DiscardedBody(Protocol):
@@ -174,23 +186,26 @@
 
 
 class WatchRequest:
-    """A pending request for a watch."""
+    """A request for a watch, which is pending until the first byte of the response's body."""
 
-    def __init__(self, requested_at: float, response: defer.Deferred[Any], timer: CallAfterReads) -> None:
-        """`timer` cancels the request."""
+    def __init__(self, requested_at: float, response: defer.Deferred[Any]) -> None:
         self.requested_at = requested_at
         self.response = response
-        self._timer = timer
+        self.watch: Watch | None = None  # set once the head of the response was received
+        self.timer: CallAfterReads | None = None  # for the first byte of the body
 
     def cancel(self) -> None:
         """Cancels the request."""
         self.stop_timer()
-        self.response.cancel()
+        if self.watch is None:
+            self.response.cancel()
+        else:
+            self.watch.close()
 
     def stop_timer(self) -> None:
         """Cancels the timer of a request that has finished."""
-        if self._timer.active():
-            self._timer.cancel()
+        if self.timer is not None and self.timer.active():
+            self.timer.cancel()
 
 
 class OutdatedList:
@@ -227,7 +242,6 @@
         self.newest_version = 0  # version of the applied list, whichever address it came from
         self.outdated: OutdatedList | None = None  # deferred until it is as new as the applied list
         self.address_changed_at = -inf
-        self.requested_at = -inf  # when the request of the current watch was sent
         self.failure_reported = False  # and no list was received since
         self.requests: list[WatchRequest] = []  # pending, oldest first
         self.watch: Watch | None = None
@@ -270,9 +284,7 @@
             self.outdated = None
             self.version = None
         if watch is not None:
-            watch.stop_timer()
-            if watch.transport is not None:
-                watch.transport.loseConnection()
+            watch.close()
 
     def apply_initial_list(self, encoded: Any, origin: Address | None = None) -> None:
         """Applies a list that this proxy had before; `origin` is the address that it was received from.
@@ -293,8 +305,8 @@
         """Requests a watch, even if another request is pending."""
         clock = self.proxy.clock
         response = self.service.request_watch(self.version)
-        timer = clock.call_after_reads(RESPONSE_TIMEOUT, response.cancel)
-        request = WatchRequest(clock.now(), response, timer)
+        request = WatchRequest(clock.now(), response)
+        request.timer = clock.call_after_reads(RESPONSE_TIMEOUT, self.request_timed_out, request)
         self.requests.append(request)
         hedge_after = max(RETRY_DELAY, HEDGE_SHARE * self.proxy.settings.drain_grace)
         if hedge_after < RESPONSE_TIMEOUT:
@@ -308,21 +320,41 @@
         if request in self.requests:
             self.send_request()
 
+    def request_timed_out(self, request: WatchRequest) -> None:
+        """Ends a request without a response, or with a response whose body does not begin."""
+        if request.watch is None:
+            request.response.cancel()
+        else:
+            request.watch.close()
+            self.request_failed("silent", request)
+
     def response_received(self, response: Any, request: WatchRequest) -> None:
-        """Opens the watch; any status but 200 fails the request."""
-        request.stop_timer()
+        """Waits for the body of a response; any status but 200 fails the request."""
         if request not in self.requests:
+            request.stop_timer()
             response.deliverBody(DiscardedBody())
             return
         if response.code != HTTP_OK:
             response.deliverBody(DiscardedBody())
             self.request_failed(f"status {response.code}", request)
             return
+        request.watch = Watch(self, request)
+        response.deliverBody(request.watch)
+
+    def open_watch(self, watch: Watch) -> bool:
+        """Opens a watch that has received its first byte, in place of all pending requests.
+
+        Returns False if its request has been cancelled.
+        """
+        request = watch.request
+        if request not in self.requests:
+            return False
+        request.stop_timer()
         self.requests.remove(request)
         self.cancel_requests()
-        self.requested_at = request.requested_at
-        self.watch = Watch(self)
-        response.deliverBody(self.watch)
+        self.watch = watch
+        watch.opened()
+        return True
 
     def request_failed(self, reason: Failure | str, request: WatchRequest) -> None:
         """Schedules a retry, unless another request is pending or this one was cancelled."""
--- a/tests/test_large_fleets.py
+++ b/tests/test_large_fleets.py
@@ -244,7 +244,8 @@
     discovery.proxy = SimpleNamespace(
         clock=SimpleNamespace(now=lambda: 0.0, call_after_reads=lambda *_: None), settings=None
     )
-    discovery.watch = watch = Watch(discovery)  # type: ignore[arg-type]
+    request: Any = SimpleNamespace(requested_at=0.0)
+    discovery.watch = watch = Watch(discovery, request)  # type: ignore[arg-type]
     for text in (json.dumps(ENDPOINT_LIST), json.dumps(ENDPOINT_LIST, indent=4)):
         data = text.encode() + b"\n"
         for at in range(0, len(data), 1400):
--- a/tests/test_list_told.py
+++ b/tests/test_list_told.py
@@ -95,6 +95,25 @@
     assert program.stop().count("list: ") <= 1
 
 
+def test_list_that_stops_after_its_head_is_requested_beside_it(start_program: StartProgram) -> None:
+    # Guards against attempts at a draining server after a short drain grace: a response whose body did not
+    # begin was waited for, and only then was the list requested again.
+    one = StandInServer()
+    other = StandInServer("UP r2")
+    rules = {**PLATFORM_SETTINGS["rules"], "stop_sending_within_us": 300_000}
+    program = start_program(server_list(one, other), settings={**PLATFORM_SETTINGS, "rules": rules})
+    _, without_body = program.discovery.requests.get(timeout=15)
+    send_headers(without_body)
+    _, watch = program.discovery.accept_watch()
+    assert not without_body.is_closed()  # not yet timed out
+    StandInDiscovery.send_text(watch, json.dumps(endpoint_list(42, False, s0=(one.address, "draining"))))
+    while program.open_request("ab").read_line() != "UP r2":
+        pass
+    assert {program.open_request(key).read_line() for key in "abcdef"} == {"UP r2"}
+    program.send_endpoints(s0=one.address)  # through a watch that is still open
+    assert "fault" not in program.stop()
+
+
 def start_with_deferred_list(
     start_program: StartProgram, *servers: StandInServer
 ) -> tuple[Program, StandInDiscovery, LineConnection]:
@@ -177,14 +196,13 @@
     parsed: list[bytes] = []
     monkeypatch.setattr("brambleplank.discovery.platform.discovery.json.loads", parsed.append)
     clock = SimpleNamespace(now=lambda: 0.0, call_after_reads=lambda *_: InactiveTimer())
-    discovery: Any = SimpleNamespace(
-        proxy=SimpleNamespace(clock=clock), requested_at=0.0, list_received=lambda encoded: None
-    )
+    discovery: Any = SimpleNamespace(proxy=SimpleNamespace(clock=clock), list_received=lambda encoded: None)
     discovery.watch_failed = pytest.fail
     discovery.heartbeat_received = lambda: None
-    watch = discovery.watch = discovery_module.Watch(discovery)
+    request: Any = SimpleNamespace(requested_at=0.0)
+    watch = discovery.watch = discovery_module.Watch(discovery, request)
     watch.transport = SimpleNamespace(disconnecting=False)
-    watch.connectionMade()
+    watch.opened()
     hosts = {f"s{n}": "127.0.0.1:80" for n in range(300)}
     listed = endpoint_list(42, True, **hosts)
     listed["hosts"][0]["site"] = 'a "quoted" {[ and a \\ at its end \\'
