A sidecar ends with its application although a client still reads its answer

Change: the sidecar goes by the shutdown's report (is_drained). The tests are unchanged. Looked for elsewhere: nothing else waits for the clients to be none.

--- a/brambleplank/sidecar/run.py
+++ b/brambleplank/sidecar/run.py
@@ -98,6 +98,7 @@
         self.application: Application | None = None
         self.is_ready = False
         self.is_stopping = False
+        self.is_drained = False
         self.exit_code = 0
         self.source = endpoint_source(self.proxy, loaded)
         self.proxy.set_endpoint_source(self.source)
@@ -208,7 +209,8 @@
         self.proxy.stop()
 
     def drained(self) -> None:
-        """Called when no client is left: asks the application to stop, or exits if there is none."""
+        """Called when no client is served: asks the application to stop, or exits if there is none."""
+        self.is_drained = True
         if self.application is None:
             self.end()
             return
@@ -228,7 +230,7 @@
         self.proxy.log(f"application ended with {code}")
         if not self.is_stopping:
             self.proxy.clock.call_later(APPLICATION_END_DELAY, self.stop)
-        elif not self.proxy.requests.clients:
+        elif self.is_drained:
             self.end()
 
     def end(self) -> None:
