--- a/review/1/case.py
+++ b/review/1/case.py
@@ -22,7 +22,9 @@
 SERVERS = 9
 BAD_SERVER = 0
 FLOWS = 150
-PAUSE = 0.1
+PAUSE = 0.1  # seconds from an answer to the next flow
+READY_TIME = 1.5  # seconds from being ready to SIGHUP, which never comes in a program's first second
+RELOAD_TIME = 1.5  # seconds from SIGHUP to the next flow; the new settings bind after 1.2 s
 
 
 async def run_and_reset(server: rig.Server, opening: rig.Opening, writer: asyncio.StreamWriter) -> bool:
@@ -46,14 +48,16 @@
 
 
 async def play(proxy: rig.Proxy, record: rig.Record, trouble: bool) -> list[str]:
-    """Puts the incomplete file in place if `trouble`, then opens flows one after another."""
+    """Replaces the configuration, without one key if `trouble`, then opens flows one after another."""
+    await asyncio.sleep(READY_TIME)
+    config = copy.deepcopy(proxy.config)
     if trouble:
-        incomplete = copy.deepcopy(proxy.config)
-        del incomplete["settings"]["service_types"][2]["group"]
-        proxy.write_config(incomplete)
-        record.write("configuration replaced: the same but without settings.service_types[2].group")
-        proxy.signal(signal.SIGHUP)
-    await asyncio.sleep(1.5)
+        del config["settings"]["service_types"][2]["group"]
+    proxy.write_config(config)
+    missing = "without settings.service_types[2].group" if trouble else "with every key"
+    record.write(f"configuration replaced by the same, {missing}")
+    proxy.signal(signal.SIGHUP)
+    await asyncio.sleep(RELOAD_TIME)
     names = []
     for _ in range(FLOWS):
         names.append(await open_flow(proxy, record))
--- a/review/common/rig.py
+++ b/review/common/rig.py
@@ -348,6 +348,7 @@
     record = Record(folder)
     trouble = os.environ.get("TROUBLE", "1") != "0"
     record.write(f"the case runs {'with' if trouble else 'without'} the disruption")
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(NOT_RUN))  # ends the processes of the case too
 
     async def limited() -> bool:
         with tempfile.TemporaryDirectory() as temporary:
