Checks of the settings move to a module of their own

Need: the checks of a site's settings are to cover lists and words as well, and checks.py is shared by all readers of stored values. Change: check_settings and its tables stand in settings_checks.py; checks.py keeps the error, addresses and single values. Nothing is checked differently.

--- a/brambleplank/platform/configuration.py
+++ b/brambleplank/platform/configuration.py
@@ -7,12 +7,13 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, Any
 
-from brambleplank.checks import InvalidConfigurationError, check_settings, parse_address
+from brambleplank.checks import InvalidConfigurationError, parse_address
 from brambleplank.discovery.platform.endpoint_list import MalformedListError, decode_list
 from brambleplank.model import Address, Settings
 from brambleplank.platform.reload import FIXED_SETTINGS, require_same_keys
 from brambleplank.platform.stored_values import address_text
 from brambleplank.settings import decode_settings
+from brambleplank.settings_checks import check_settings
 
 if TYPE_CHECKING:
     from brambleplank.fleet.shapes import FleetSettings
--- a/brambleplank/sidecar/reader.py
+++ b/brambleplank/sidecar/reader.py
@@ -8,11 +8,12 @@
 from pathlib import Path
 from typing import Any
 
-from brambleplank.checks import InvalidConfigurationError, check_settings
+from brambleplank.checks import InvalidConfigurationError
 from brambleplank.discovery.file import server_file
 from brambleplank.fleet.shapes import REQUEST_BUDGETS
 from brambleplank.model import Settings
 from brambleplank.settings import decode_settings
+from brambleplank.settings_checks import check_settings
 from brambleplank.sidecar.platform_settings import PLATFORM_EFFECTS, platform_settings
 from brambleplank.sidecar.rules import Machine, check_file
 from brambleplank.sidecar.shapes import File
