A configuration that lacks a key in a list is refused; an unknown word permits nothing

Cause: require_same_keys did not look into lists, the checks of a class did not name `group` and `window_us`, and the decoder took "all" for a missing group; any other word was treated as `cell`.

Change: DeduplicationScope is an enum; by_key needs both keys, and the decoder has no default for them; a reload compares lists too, by name, and refuses values of another kind or a negative number where none was; no number may be infinite, NaN or over 2^63; words, message_aim_us, peers, tenants and seed are checked; false is no number. The same in a start, in convert, and for a class that is handed over in an upgrade.

Of the tests changed, test_sidecar asserted "all" for classes that repeats do not concern; it asserts the narrowest scope now, as strictly, since a value that nobody checked is not to be the widest.

--- a/brambleplank/checks.py
+++ b/brambleplank/checks.py
@@ -2,11 +2,13 @@
 
 from __future__ import annotations
 
-from math import inf
+import re
 from typing import Any
 
 from brambleplank.errors import BrambleplankError
 
+PORT = re.compile(r"[0-9]{1,5}")
+MAX_NUMBER = 2**63  # larger whole numbers do not always fit into a float
 TYPE_NAMES = {
     dict: "an object",
     list: "a list",
@@ -30,7 +32,7 @@
 def parse_address(text: Any, key: str) -> tuple[str, int]:
     """Parses an address like 10.0.0.4:5000 into host and port. Raises InvalidConfigurationError."""
     host, _, port = text.rpartition(":") if isinstance(text, str) else ("", "", "")
-    if not host or not port.isdigit() or not 0 < int(port) < 65536:
+    if not host or not PORT.fullmatch(port) or not 0 < int(port) < 65536:
         raise InvalidConfigurationError(f"{key}: need an address like 10.0.0.4:5000, not {text!r:.60}")
     return host, int(port)
 
@@ -38,7 +40,26 @@
 def check_value(value: Any, key: str, kind: type, least: float = 0) -> None:
     """Raises InvalidConfigurationError for another type, and for a number below `least` or not finite."""
     is_of_kind = isinstance(value, (int, float) if kind is float else kind)
-    if not is_of_kind or (kind is not bool and value is True):
+    is_boolean = isinstance(value, bool)  # an int to Python
+    if not is_of_kind or is_boolean is not (kind is bool):
         raise InvalidConfigurationError(f"{key}: need {TYPE_NAMES[kind]}, not {value!r:.60}")
-    if kind in (int, float) and not least <= value < inf:
+    if kind in (int, float) and not least <= value:
         raise InvalidConfigurationError(f"{key}: need at least {least}, not {value!r:.60}")
+    if kind in (int, float) and value > MAX_NUMBER:
+        raise InvalidConfigurationError(f"{key}: need at most {MAX_NUMBER}, not {value!r:.60}")
+
+
+def check_finite_numbers(value: Any, key: str) -> None:
+    """Raises InvalidConfigurationError for a number in a JSON value that is infinite, not a number or huge.
+
+    Python's reader of JSON accepts such numbers, which compare as less or greater than any limit.
+    """
+    pending = [(key, value)]
+    while pending:
+        path, item = pending.pop()
+        if isinstance(item, dict):
+            pending.extend((f"{path}.{name}" if path else name, each) for name, each in item.items())
+        elif isinstance(item, list):
+            pending.extend((f"{path}[{number}]", each) for number, each in enumerate(item))
+        elif isinstance(item, int | float) and not -MAX_NUMBER <= item <= MAX_NUMBER:
+            raise InvalidConfigurationError(f"{path}: need a finite number, not {item!r:.60}")
--- a/brambleplank/cli/convert_command.py
+++ b/brambleplank/cli/convert_command.py
@@ -10,6 +10,7 @@
 import click
 
 from brambleplank import addresses
+from brambleplank.checks import InvalidConfigurationError
 from brambleplank.sidecar import reader, writer
 
 
@@ -50,7 +51,7 @@
     """Converts the platform's JSON to a sidecar's file; exits if the JSON is invalid."""
     try:
         return writer.file_text(writer.from_platform(json.loads(text)))
-    except (ValueError, RecursionError) as error:
+    except (InvalidConfigurationError, ValueError, RecursionError) as error:
         fail(f"{file}: {error}")
     except KeyError as error:
         fail(f"{file}: {error.args[0]}: missing")
--- a/brambleplank/decisions/final_answers.py
+++ b/brambleplank/decisions/final_answers.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from brambleplank.decisions.context import Context
-from brambleplank.model import Idempotency, RejectReason
+from brambleplank.model import DeduplicationScope, Idempotency, RejectReason
 from brambleplank.records import Request
 
 SHORTEST_PAUSE_SHARE = 0.5  # of the longest retry-after; the rest is random, to spread the retries
@@ -39,5 +39,5 @@
         return True
     return (
         traffic_class.idempotency is Idempotency.IDEMPOTENT_IN_GROUP
-        and traffic_class.deduplication_scope == "all"
+        and traffic_class.deduplication_scope is DeduplicationScope.ALL
     )
--- a/brambleplank/decisions/idempotency.py
+++ b/brambleplank/decisions/idempotency.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from brambleplank.decisions.stage import Penalty, Stage
-from brambleplank.model import Idempotency
+from brambleplank.model import DeduplicationScope, Idempotency
 from brambleplank.records import Request, Server
 
 
@@ -22,9 +22,9 @@
         latest_write = now + self.settings.connect_timeout + self.context.deadline_margin
         if latest_write >= first.sent + traffic_class.deduplication_window:
             return True
-        if traffic_class.deduplication_scope == "all":
+        if traffic_class.deduplication_scope is DeduplicationScope.ALL:
             return False
-        if traffic_class.deduplication_scope == "zone":
+        if traffic_class.deduplication_scope is DeduplicationScope.ZONE:
             return server.zone != first.server.zone
         return server.cell != first.server.cell
 
--- a/brambleplank/decisions/request_invariants.py
+++ b/brambleplank/decisions/request_invariants.py
@@ -16,7 +16,7 @@
 from enum import Enum
 from math import sqrt
 
-from brambleplank.model import AttemptOutcome, EndpointStatus, Idempotency, Settings
+from brambleplank.model import AttemptOutcome, DeduplicationScope, EndpointStatus, Idempotency, Settings
 from brambleplank.records import Attempt, Request, Server
 
 MAX_STALL = 0.15  # seconds for which this process may stall between reading its clock and writing
@@ -119,7 +119,8 @@
         if now >= first.sent + traffic_class.deduplication_window:
             return f"the window since {first.server.id} is over"
         if not recognize_repeats(traffic_class.deduplication_scope, first.server, attempt.server):
-            return f"it may have run at {first.server.id}, in another {traffic_class.deduplication_scope}"
+            scope = traffic_class.deduplication_scope.value
+            return f"it may have run at {first.server.id}, in another {scope}"
         return ""
 
     # CLOSING.
@@ -129,7 +130,7 @@
         traffic_class = request.traffic_class
         if traffic_class.idempotency is Idempotency.IDEMPOTENT or (
             traffic_class.idempotency is Idempotency.IDEMPOTENT_IN_GROUP
-            and traffic_class.deduplication_scope == "all"
+            and traffic_class.deduplication_scope is DeduplicationScope.ALL
         ):
             return
         for attempt in request.attempts:
@@ -173,11 +174,11 @@
             del self.sent[server]
 
 
-def recognize_repeats(scope: str, one: Server, other: Server) -> bool:
+def recognize_repeats(scope: DeduplicationScope, one: Server, other: Server) -> bool:
     """Returns whether the servers drop each other's repeats, given the deduplication scope."""
-    if scope == "all":
+    if scope is DeduplicationScope.ALL:
         return True
-    return one.zone == other.zone if scope == "zone" else one.cell == other.cell
+    return one.zone == other.zone if scope is DeduplicationScope.ZONE else one.cell == other.cell
 
 
 def sorted_counts(counts: Counter[InvariantKind]) -> list[tuple[InvariantKind, int]]:
--- a/brambleplank/frontends/line/session_transfer.py
+++ b/brambleplank/frontends/line/session_transfer.py
@@ -19,7 +19,7 @@
 from brambleplank.frontends.line.client_connections import FIRST_LINE_TIMEOUT, LineClientConnection
 from brambleplank.frontends.line.upstream_connections import LineUpstreamConnection
 from brambleplank.interfaces import ResumedSession
-from brambleplank.model import Idempotency, TrafficClass
+from brambleplank.model import DeduplicationScope, Idempotency, TrafficClass
 from brambleplank.net.buffers import ClientTransport
 from brambleplank.net.loop import reactor
 from brambleplank.net.proxy import Proxy
@@ -176,7 +176,7 @@
     return {
         "setup_target": traffic_class.latency_objective,
         "effect": traffic_class.idempotency.value,
-        "group": traffic_class.deduplication_scope,
+        "group": traffic_class.deduplication_scope.value,
         "window": traffic_class.deduplication_window,
         "message_target": traffic_class.message_latency_objective,
         "connect_timeout": traffic_class.deadline,
@@ -190,10 +190,12 @@
     try:
         if unknown := stored.keys() - TRAFFIC_CLASS_KEYS:
             raise InvalidConfigurationError(f"kind: unknown key {min(unknown)!r:.40}")
+        for key in ("setup_target", "window", "message_target", "connect_timeout", "max_connects"):
+            check_value(stored[key], f"kind.{key}", float)
         return TrafficClass(
             latency_objective=stored["setup_target"],
             idempotency=Idempotency(stored["effect"]),
-            deduplication_scope=stored["group"],
+            deduplication_scope=DeduplicationScope(stored["group"]),
             deduplication_window=stored["window"],
             message_latency_objective=stored["message_target"],
             deadline=stored["connect_timeout"],
--- a/brambleplank/model.py
+++ b/brambleplank/model.py
@@ -47,6 +47,14 @@
     NON_IDEMPOTENT = "once-only"  # it takes effect twice
 
 
+class DeduplicationScope(Enum):
+    """Which servers drop a repeat of a request. The values are written to files and stand in settings."""
+
+    ALL = "all"  # all servers
+    ZONE = "zone"  # the servers of the zone in which it ran first
+    CELL = "cell"  # the servers of that cell
+
+
 class EndpointStatus(Enum):
     """The status of a server in the endpoint list."""
 
@@ -83,7 +91,7 @@
 
     latency_objective: float  # seconds within which an attempt should be established
     idempotency: Idempotency
-    deduplication_scope: str  # "all", "zone" or "cell": the servers that drop repeats
+    deduplication_scope: DeduplicationScope  # the servers that drop repeats
     deduplication_window: float  # seconds for which they recognize a repeat
     message_latency_objective: float  # seconds within which a message of a session should be answered
     deadline: float  # seconds that a client waits for its answer at most
--- a/brambleplank/platform/configuration.py
+++ b/brambleplank/platform/configuration.py
@@ -4,13 +4,14 @@
 
 import json
 import os
+import re
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, Any
 
-from brambleplank.checks import InvalidConfigurationError, parse_address
+from brambleplank.checks import InvalidConfigurationError, check_finite_numbers, check_value, parse_address
 from brambleplank.discovery.platform.endpoint_list import MalformedListError, decode_list
 from brambleplank.model import Address, Settings
-from brambleplank.platform.reload import FIXED_SETTINGS, require_same_keys
+from brambleplank.platform.reload import FIXED_SETTINGS, require_same_keys, require_same_kinds
 from brambleplank.platform.stored_values import address_text
 from brambleplank.settings import decode_settings
 from brambleplank.settings_checks import check_settings
@@ -20,6 +21,7 @@
 
 DEFAULT_DESCRIPTORS = 1024
 MIN_DESCRIPTORS = 64
+HEXADECIMAL = re.compile(r"[0-9a-fA-F]{1,64}")
 EMPTY_LIST = {"seq": 0, "whole": True, "hosts": []}
 
 
@@ -73,6 +75,7 @@
 
     Raises InvalidConfigurationError.
     """
+    check_finite_numbers({name: value for name, value in file.items() if name != "known"}, "")
     if previous:
         require_same_keys(previous.file, file)
     check_name(file)
@@ -84,6 +87,9 @@
     peer_addresses = decode_peer_addresses(file)
     listen = parse_address(os.environ.get("ROUTER_LISTEN") or file.get("listen"), "listen")
     discovery = parse_address(discovery_address(file, previous), "discovery")
+    for key in ("peer_listen", "peers_all"):
+        if file.get(key) is not None:
+            parse_address(file[key], key)
     peers = None
     if settings.may_message_peers and file.get("peer_listen") is not None:
         # `peers` lists the proxies of this kind by slot; those of the other kind may have the lower numbers.
@@ -95,6 +101,9 @@
         )
     operators = os.environ.get("ROUTER_MGMT") or file.get("mgmt")
     members = len(peer_addresses) if peers else 0
+    fleet = decode_fleet(file, settings, members, operators is not None)
+    if previous:
+        require_same_kinds(previous.file, file)
     return PlatformConfiguration(
         listen=listen,
         discovery=discovery,
@@ -105,7 +114,7 @@
         initial_list=initial_list,
         settings=settings,
         file=file,
-        fleet=previous.fleet if previous else decode_fleet(file, settings, members, operators is not None),
+        fleet=previous.fleet if previous else fleet,
     )
 
 
@@ -118,12 +127,10 @@
 
 def decode_seed(file: dict[str, Any]) -> int:
     """Returns the seed of the proxy's random numbers. Raises InvalidConfigurationError."""
-    try:
-        return int(str(file.get("seed", "")), 16)
-    except ValueError:
-        raise InvalidConfigurationError(
-            f"seed: need a hexadecimal number, not {file.get('seed')!r:.60}"
-        ) from None
+    seed = file.get("seed")
+    if not isinstance(seed, str) or not HEXADECIMAL.fullmatch(seed):
+        raise InvalidConfigurationError(f"seed: need a string of hexadecimal digits, not {seed!r:.60}")
+    return int(seed, 16)
 
 
 def decode_descriptor_limit(file: dict[str, Any]) -> int:
@@ -131,6 +138,9 @@
     limits = file.get("limits", {})
     if not isinstance(limits, dict):
         raise InvalidConfigurationError(f"limits: need an object, not {limits!r:.60}")
+    for unused in ("cores", "memory_mb"):
+        if limits.get(unused) is not None:
+            check_value(limits[unused], f"limits.{unused}", float)
     descriptors = limits.get("sockets", DEFAULT_DESCRIPTORS)
     if not isinstance(descriptors, int) or descriptors < MIN_DESCRIPTORS:
         raise InvalidConfigurationError(
@@ -179,7 +189,16 @@
     peers = file.get("peers", [])
     if not isinstance(peers, list):
         raise InvalidConfigurationError(f"peers: need a list of addresses, not {peers!r:.60}")
-    return [parse_address(peer, "peers") for peer in peers]
+    addresses = [parse_address(peer, f"peers[{number}]") for number, peer in enumerate(peers)]
+    for number, address in enumerate(addresses):
+        if address in addresses[:number]:
+            raise InvalidConfigurationError(f"peers[{number}]: {peers[number]} is used twice")
+    proxies = file["settings"]["balancers"]
+    if addresses and len(addresses) < proxies:
+        raise InvalidConfigurationError(
+            f"peers: need an address for each of {proxies} proxies (settings.balancers), not {len(addresses)}"
+        )
+    return addresses
 
 
 def discovery_address(file: dict[str, Any], previous: PlatformConfiguration | None) -> Any:
--- a/brambleplank/platform/reload.py
+++ b/brambleplank/platform/reload.py
@@ -2,12 +2,24 @@
 
 from __future__ import annotations
 
+import re
+from collections.abc import Iterator
 from typing import Any
 
-from brambleplank.checks import InvalidConfigurationError
+from brambleplank.checks import TYPE_NAMES, InvalidConfigurationError
+from brambleplank.settings_checks import DEDUPLICATION_KEYS
 
 APPLIED_KEYS = ("discovery", "limits.sockets", "peers", "peers_all")  # in addition to the settings
 IGNORED_KEYS = ("limits.cores", "limits.memory_mb", "known")  # ignored by a reload
+OPTIONAL_KEYS = {  # keys that a reload may remove, with what the operators' wire page says of them
+    "settings.service_types[].aim_stretch": "the key may be absent",
+    "settings.goal.nines_part": "where given",
+    "settings.goal.top_nines": "where given",
+    "settings.fees.fleet": "optional",
+}
+CONDITIONAL_KEYS = tuple(key.path for key in DEDUPLICATION_KEYS)  # an added class may need no such key
+MISSING = object()  # counterpart of a value whose key is missing
+ITEM_NUMBER = re.compile(r"\[\d+\]")
 FIXED_SETTINGS = ("balancers", "slot_no", "az")  # settings that need a restart
 
 
@@ -50,17 +62,66 @@
     return f"{text}; wait for a restart: {', '.join(waiting)}" if waiting else text
 
 
-def require_same_keys(before: Any, now: Any, key: str = "") -> None:
+def require_same_keys(before: Any, now: Any) -> None:
     """Raises InvalidConfigurationError for a key that the previous configuration has and the new one lacks.
 
     Otherwise a truncated file that is still valid would be applied with defaults for the missing keys.
     """
-    if key in IGNORED_KEYS or not isinstance(before, dict) or not isinstance(now, dict):
-        return
-    for name, value in before.items():
-        path = f"{key}.{name}" if key else name
-        if name not in now and path not in IGNORED_KEYS:
+    for key, _old, new in compared_values(before, now):
+        if new is MISSING and ITEM_NUMBER.sub("[]", key) not in OPTIONAL_KEYS:
             raise InvalidConfigurationError(
-                f"{path}: missing; the configuration in force has it, and a reload cannot remove it"
+                f"{key}: missing; the configuration in force has it, and a reload cannot remove it"
             )
-        require_same_keys(value, now.get(name), path)
+
+
+def require_same_kinds(before: Any, now: Any) -> None:
+    """Raises InvalidConfigurationError for a value of another kind than in the previous configuration.
+
+    The keys that this program reads are checked before. This finds damage at the others, and a negative
+    number where there was none.
+    """
+    for key, old, new in compared_values(before, now):
+        if old is None or new is MISSING:
+            continue
+        if kind_of(old) is not kind_of(new):
+            raise InvalidConfigurationError(f"{key}: need {TYPE_NAMES[kind_of(old)]}, not {new!r:.60}")
+        if kind_of(old) is float and new < 0 <= old:
+            raise InvalidConfigurationError(f"{key}: need at least 0, not {new!r:.60}")
+
+
+def kind_of(value: Any) -> type:
+    """Returns the kind of a JSON value; all numbers are of one kind."""
+    return float if type(value) is int else type(value)
+
+
+def compared_values(before: Any, now: Any, key: str = "") -> Iterator[tuple[str, Any, Any]]:
+    """Yields the path of each value of the previous configuration, the value, and its counterpart."""
+    if isinstance(before, dict) and isinstance(now, dict):
+        for name, old in before.items():
+            path = f"{key}.{name}" if key else name
+            if path not in IGNORED_KEYS:
+                yield path, old, now.get(name, MISSING)
+                yield from compared_values(old, now.get(name, MISSING), path)
+    elif isinstance(before, list) and isinstance(now, list) and before:
+        for number, item in enumerate(now):
+            path = f"{key}[{number}]"
+            yield path, before[0], item
+            yield from compared_values(counterpart(before, item), item, path)
+
+
+def counterpart(before: list[Any], item: Any) -> Any:
+    """Returns the item of a previous list with which an item is compared.
+
+    That is the one of the same name. An added item is compared with what all previous items have in common.
+    """
+    tables = [old for old in before if isinstance(old, dict)]
+    if not isinstance(item, dict) or not tables:
+        return before[0]
+    for old in tables:
+        if "name" in old and old["name"] == item.get("name"):
+            return old
+    return {
+        name: value
+        for name, value in tables[0].items()
+        if name not in CONDITIONAL_KEYS and all(name in old for old in tables)
+    }
--- a/brambleplank/settings.py
+++ b/brambleplank/settings.py
@@ -9,13 +9,14 @@
 from typing import Any, TypeVar
 
 from brambleplank.errors import BrambleplankError
-from brambleplank.model import Idempotency, Settings, TrafficClass
+from brambleplank.model import DeduplicationScope, Idempotency, Settings, TrafficClass
 
 IDEMPOTENCY_BY_NAME = {
     "repeatable": Idempotency.IDEMPOTENT,
     "by_key": Idempotency.IDEMPOTENT_IN_GROUP,
     "once": Idempotency.NON_IDEMPOTENT,
 }
+SCOPE_BY_NAME = {scope.value: scope for scope in DeduplicationScope}
 MICRO = 1e-6  # seconds per microsecond
 MAX_SESSION_SILENCE = 4.5  # seconds; the limit is 7, and a line is sent every 2 seconds
 MAX_SHUTDOWN_TIME = 3.0  # seconds; leaves 0.7 seconds for the ends of sessions to arrive
@@ -43,7 +44,7 @@
     """
     limits = info["policy_limits"]
     rules = info["rules"]
-    specifics = info.get("specifics", {})
+    specifics = info.get("specifics") or {}
     traffic_classes = decode_traffic_classes(info)
     proxies, proxy_number = decode_proxies(info)
     return Settings(
@@ -86,20 +87,36 @@
 
 def decode_traffic_classes(info: dict[str, Any]) -> dict[str, TrafficClass]:
     """Returns the traffic classes by name."""
-    message_targets = info.get("specifics", {}).get("message_aim_us", [])
+    message_targets = (info.get("specifics") or {}).get("message_aim_us") or ()
     traffic_classes = {}
     for index, item in enumerate(info["service_types"]):
         latency_objective_us = item["setup_target_us"]
         message_objective_us = latency_objective_us
         if index < len(message_targets):
             message_objective_us = message_targets[index]
+        idempotency = IDEMPOTENCY_BY_NAME[item["effect"]]
+        scope, window_us = decode_deduplication(item, idempotency)
         traffic_classes[item["name"]] = TrafficClass(
             latency_objective=latency_objective_us * MICRO,
-            idempotency=IDEMPOTENCY_BY_NAME[item["effect"]],
-            deduplication_scope=item.get("group", "all"),
-            deduplication_window=item.get("window_us", 0) * MICRO,
+            idempotency=idempotency,
+            deduplication_scope=scope,
+            deduplication_window=window_us * MICRO,
             message_latency_objective=message_objective_us * MICRO,
             deadline=item.get("deadline_us", latency_objective_us) * MICRO,
             max_attempts=info["policy_limits"]["max_connects"],
         )
     return traffic_classes
+
+
+def decode_deduplication(
+    traffic_class: dict[str, Any], idempotency: Idempotency
+) -> tuple[DeduplicationScope, float]:
+    """Returns which servers drop repeats of a class, and for how many microseconds.
+
+    Raises KeyError if a class of which repeats are dropped lacks a key. Other classes may leave both out;
+    they get the narrowest scope and no window.
+    """
+    if idempotency is Idempotency.IDEMPOTENT_IN_GROUP:
+        return SCOPE_BY_NAME[traffic_class["group"]], traffic_class["window_us"]
+    scope = SCOPE_BY_NAME[traffic_class.get("group") or DeduplicationScope.CELL.value]
+    return scope, traffic_class.get("window_us") or 0
--- a/brambleplank/sidecar/writer.py
+++ b/brambleplank/sidecar/writer.py
@@ -12,6 +12,7 @@
 
 from brambleplank import addresses
 from brambleplank.discovery.file.server_file import STATES, Server
+from brambleplank.settings_checks import check_settings
 from brambleplank.sidecar.platform_settings import (
     MICROSECONDS_PER_SECOND,
     PLATFORM_EFFECTS,
@@ -183,11 +184,13 @@
 def from_platform(config: dict[str, Any]) -> File:
     """Converts the platform's JSON to a sidecar's file, without applying the rules of such files.
 
-    Raises KeyError, TypeError or ValueError if the JSON lacks a value or has one of the wrong type.
+    Raises InvalidConfigurationError if the settings are invalid, and KeyError, TypeError or ValueError if
+    another value is missing or of the wrong type.
     """
     settings = config["settings"]
+    check_settings(settings)
     policy = settings["policy_limits"]
-    specifics = settings.get("specifics", {})
+    specifics = settings.get("specifics") or {}
     hosts = [host for host in config.get("known", {}).get("hosts", ()) if host["health"] in STATES]
     document: dict[str, Any] = {
         "application": config["name"],
@@ -244,20 +247,20 @@
 
 def service_type_tables(items: list[dict[str, Any]], specifics: dict[str, Any]) -> list[dict[str, Any]]:
     """Returns the tables `service_type`."""
-    message_targets = specifics.get("message_aim_us", [])
+    message_targets = specifics.get("message_aim_us") or ()
     tables = []
     for number, item in enumerate(items):
         table = {
             "name": item["name"],
             "effect": EFFECTS_BY_PLATFORM_NAME[item["effect"]],
             "setup_target": time_text(item["setup_target_us"]),
-            "connect_timeout": time_text(item.get("deadline_us", item["setup_target_us"])),
+            "connect_timeout": time_text(item["deadline_us"]),
         }
         if number < len(message_targets):
             table["message_target"] = time_text(message_targets[number])
         if item["effect"] == "by_key":
-            table["group"] = item.get("group", "all")
-            table["window"] = time_text(item.get("window_us", 0))
+            table["group"] = item["group"]
+            table["window"] = time_text(item["window_us"])
         tables.append(table)
     return tables
 
--- a/tests/sample_settings.py
+++ b/tests/sample_settings.py
@@ -4,9 +4,9 @@
 
 from typing import Any
 
-from brambleplank.model import Idempotency, Settings, TrafficClass
+from brambleplank.model import DeduplicationScope, Idempotency, Settings, TrafficClass
 
-FEED = TrafficClass(0.3, Idempotency.IDEMPOTENT, "all", 5.0, 0.1, 1.8, 3)
+FEED = TrafficClass(0.3, Idempotency.IDEMPOTENT, DeduplicationScope.ALL, 5.0, 0.1, 1.8, 3)
 DECODED_SETTINGS = Settings(
     proxies=2,
     proxy_number=0,
--- a/tests/test_golden_forms.py
+++ b/tests/test_golden_forms.py
@@ -17,7 +17,7 @@
 from brambleplank.discovery.platform.discovery import Discovery
 from brambleplank.fleet import messages
 from brambleplank.frontends.line import session_transfer
-from brambleplank.model import EndpointStatus, Idempotency, TrafficClass
+from brambleplank.model import DeduplicationScope, EndpointStatus, Idempotency, TrafficClass
 from brambleplank.net.log import LogWriter
 from brambleplank.net.proxy import Proxy
 from brambleplank.net.upstream_endpoint import upstream_endpoint_of
@@ -156,7 +156,9 @@
 
 def test_the_traffic_class_of_a_handed_off_connection_keeps_its_form() -> None:
     stored = load_golden("traffic-class.json")
-    traffic_class = TrafficClass(0.3, Idempotency.IDEMPOTENT_IN_GROUP, "zone", 5.0, 0.1, 1.8, 3)
+    traffic_class = TrafficClass(
+        0.3, Idempotency.IDEMPOTENT_IN_GROUP, DeduplicationScope.ZONE, 5.0, 0.1, 1.8, 3
+    )
     assert session_transfer.encode_traffic_class(traffic_class) == stored
     assert session_transfer.decode_traffic_class(stored) == traffic_class
 
--- a/tests/test_idempotency.py
+++ b/tests/test_idempotency.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from brambleplank.model import AttemptOutcome, EndpointStatus, Idempotency
+from brambleplank.model import AttemptOutcome, DeduplicationScope, EndpointStatus, Idempotency
 from tests.fake_host import FakeHost, HostCall
 from tests.sample_settings import FEED
 
@@ -32,7 +32,7 @@
     zone_scoped = replace(
         FEED,
         idempotency=Idempotency.IDEMPOTENT_IN_GROUP,
-        deduplication_scope="zone",
+        deduplication_scope=DeduplicationScope.ZONE,
         deduplication_window=1.0,
     )
     fake = FakeHost(traffic_classes={"feed": zone_scoped})
--- a/tests/test_rule_guard.py
+++ b/tests/test_rule_guard.py
@@ -11,7 +11,7 @@
 import pytest
 
 from brambleplank.decisions.request_invariants import MAX_STALL, InvariantKind, RequestInvariants
-from brambleplank.model import AttemptOutcome, EndpointStatus, Idempotency, TrafficClass
+from brambleplank.model import AttemptOutcome, DeduplicationScope, EndpointStatus, Idempotency, TrafficClass
 from brambleplank.records import Attempt, Request, Server
 from tests.faults import FaultInjector
 from tests.overrides import overrides
@@ -42,7 +42,7 @@
 def make_request(
     idempotency: Idempotency, scope: str, *attempts: tuple[Server, AttemptOutcome | None]
 ) -> Request:
-    traffic_class = TrafficClass(0.3, idempotency, scope, 1.0, 0.1, 1.8, 3)
+    traffic_class = TrafficClass(0.3, idempotency, DeduplicationScope(scope), 1.0, 0.1, 1.8, 3)
     record = Request(None, traffic_class, 7, True, NOW + 1.8, False, False)
     for number, (attempted_server, outcome) in enumerate(attempts):
         attempt = Attempt(record, attempted_server, NOW + number * 0.1)
--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -19,6 +19,7 @@
 from hypothesis import strategies as st
 
 from brambleplank.discovery.file import server_file
+from brambleplank.model import DeduplicationScope
 from brambleplank.sidecar import reader, writer
 from brambleplank.sidecar.shapes import (
     Cold,
@@ -369,6 +370,8 @@
     assert "Rules: all kept" in ran.stdout and "fault" not in (tmp_path / "sidecar.log").read_text()
 
 
+NARROWEST_SCOPE = DeduplicationScope.CELL  # of a class that repeats do not concern
+
 # Every file that `check` accepts starts, serves each service type, respects its drain window, and shuts down.
 
 POOLS: dict[str, list[Any]] = {
@@ -432,7 +435,7 @@
         assert kind.latency_objective <= kind.deadline
         assert 1 <= kind.max_attempts <= 4
         assert kind.max_attempts * decoded.connect_timeout <= kind.deadline * 1.000001
-        assert kind.idempotency.value == "referenced" or kind.deduplication_scope == "all"
+        assert kind.idempotency.value == "referenced" or kind.deduplication_scope is NARROWEST_SCOPE
     assert reader.read(loaded.path, {}).settings == decoded
 
 
--- a/tests/test_wrong_kinds.py
+++ b/tests/test_wrong_kinds.py
@@ -6,6 +6,7 @@
 import tomllib
 from collections.abc import Iterator
 from datetime import UTC, datetime
+from math import inf, nan
 from typing import Any
 
 import pytest
@@ -117,3 +118,17 @@
                 failed.append(f"{path} = {value!r}: {type(error).__name__}: {error}")
         assert refused, path
     assert not failed, "\n".join(failed)
+
+
+@pytest.mark.parametrize("kind", READERS)
+def test_number_that_is_infinite_or_none_is_a_fault(kind: str) -> None:
+    # Guards against a limit that nothing reaches, or that compares as neither less nor greater.
+    text, faults_of = READERS[kind]
+    tables = tomllib.loads(text)
+    taken = [
+        f"{path} = {value}"
+        for path in paths_of(tables)
+        for value in (inf, -inf, nan)
+        if not faults_of(with_value(tables, path, value))
+    ]
+    assert not taken
