Discovery that is slow to answer is heard: a call that may still be answered stays open

Callers saw: with 0.45 s or more until the first byte of each answer of discovery, no list ever arrived, and a server that had drained seconds before went on getting new connections. Cause: each call was given up after 0.4 s, and the next one was no faster.

Change: a call that is not answered in 0.4 s gets another beside it as before, and stays open for up to 3.5 s; of calls within 0.9 s one stays. The first answered is the watch. A watch that is quiet for 2.5 s gets a call beside it, as 3.0 s of silence and 3.0 s to a first byte are over the 6 s in which a change counts as told. Slowness is logged once, and its end. Why it works: some call is always old enough to be answered, and some call young enough to be from after an outage.

--- a/brambleplank/discovery/platform/discovery.py
+++ b/brambleplank/discovery/platform/discovery.py
@@ -2,9 +2,13 @@
 
 The proxy is held to a change 6 s after discovery has it, provided that discovery can be reached, whatever
 requests failed in between. In the worst sequence a watch goes silent right after a line (3.0 s to detect), a
-request is refused or times out (0.4 s), the response to the next one stalls within the list (0.4 s to its
-first byte, 0.8 s to the full list), and another request times out (0.4 s). With a delay of 0.1 s before each
-request, the fourth one is sent 5.4 s after the change. `docs/design/races.md` has the timeline.
+request is refused or not answered (0.4 s), the response to the next one stalls within the list (0.4 s to its
+first byte, 0.8 s to the full list), and another request is not answered (0.4 s). With a delay of 0.1 s before
+each request, the fourth one is sent 5.4 s after the change. `docs/design/races.md` has the timeline.
+
+A request that is not answered in 0.4 s may have been lost, or discovery may be slow. Another one is sent, and
+the first stays open beside it: if discovery takes longer for each, the last one is no faster than the first.
+A watch that has been quiet for 2.5 s gets a request beside it, so that a slow answer to it is still in time.
 
 When discovery comes back after an outage, the proxy is held to its list immediately. A request sent just
 before that is never answered. If the drain grace is short, a second request is therefore sent before the
@@ -15,6 +19,7 @@
 
 import json
 import re
+from collections.abc import Callable
 from math import inf
 from typing import Any
 
@@ -33,11 +38,14 @@
 
 CATCH_UP_TIME = 2.5  # seconds for which discovery at a new address may serve an outdated list
 RETRY_DELAY = 0.1  # seconds between two requests; the agent is local, so a short delay costs nothing
-RESPONSE_TIMEOUT = 0.4  # seconds from a request to the first byte, which comes immediately or not at all
+RESPONSE_TIMEOUT = 0.4  # seconds from a request to the first byte, after which another request is sent
+MAX_RESPONSE_TIME = 3.5  # seconds from a request to the first byte, after which it is given up
+OVERDUE_SPACING = 0.9  # seconds between two requests that stay open after RESPONSE_TIMEOUT
 HEDGE_SHARE = 1 / 3  # of the drain grace; the rest is for the response, and for a stall of this process
 FIRST_LIST_TIMEOUT = 0.8  # seconds from the first byte to the full list, plus the transfer time of its bytes
 MIN_TRANSFER_RATE = 1024 * 1024  # bytes per second; discovery is on this machine
 LINE_TIMEOUT = 3.0  # seconds without a complete line; discovery sends an empty one every 2 s
+QUIET_SHARE = 5 / 6  # of LINE_TIMEOUT, after which a request is sent beside the watch
 HTTP_OK = 200
 TOKEN_PATTERN = re.compile(rb'"(?:[^"\\]|\\.)*"|[{}\[\]]')  # strings and brackets
 
@@ -65,10 +73,10 @@
         self.first_list_timeout = FIRST_LIST_TIMEOUT  # 0 after it; later lists come in one piece
         self.timer: CallAfterReads | None = None  # for the next complete line
 
-    def start_timer(self, timeout: float) -> None:
+    def start_timer(self, timeout: float, callback: Callable[[], None] | None = None) -> None:
         """Restarts the timer for the next complete line, with a timeout in seconds."""
         self.stop_timer()
-        self.timer = self.discovery.proxy.clock.call_after_reads(timeout, self.timed_out)
+        self.timer = self.discovery.proxy.clock.call_after_reads(timeout, callback or self.timed_out)
 
     def stop_timer(self) -> None:
         """Cancels the timer."""
@@ -76,6 +84,12 @@
             self.timer.cancel()
         self.timer = None
 
+    def quiet(self) -> None:
+        """Has a request sent beside the watch, unless a list is arriving, and waits on for a line."""
+        self.start_timer(LINE_TIMEOUT * (1 - QUIET_SHARE))
+        if not self.incomplete_since:
+            self.discovery.request_beside(self)
+
     def timed_out(self) -> None:
         """Fails the watch as silent, unless a long list is still arriving at the minimum rate."""
         transfer_time = self.first_list_timeout + self.incomplete_bytes / MIN_TRANSFER_RATE
@@ -145,7 +159,7 @@
     def line_completed(self) -> None:
         """Restarts the timer after a complete list or heartbeat."""
         self.first_list_timeout = 0.0
-        self.start_timer(LINE_TIMEOUT)
+        self.start_timer(LINE_TIMEOUT * QUIET_SHARE, self.quiet)
 
     def lineLengthExceeded(self, line: bytes) -> None:  # noqa: N802, ARG002
         """Fails the watch."""
@@ -175,7 +189,7 @@
 
     def __init__(self, address: Address) -> None:
         self.address = address
-        self.agent = Agent.usingEndpointFactory(reactor, DirectEndpointFactory(RESPONSE_TIMEOUT))
+        self.agent = Agent.usingEndpointFactory(reactor, DirectEndpointFactory(MAX_RESPONSE_TIME))
         self.url = b"http://%s:%d/discovery/hosts?watch=1" % (address[0].encode(), address[1])
 
     def request_watch(self, version: int | None) -> defer.Deferred[Any]:
@@ -191,6 +205,7 @@
     def __init__(self, requested_at: float, response: defer.Deferred[Any]) -> None:
         self.requested_at = requested_at
         self.response = response
+        self.is_overdue = False  # no byte of the body came within RESPONSE_TIMEOUT
         self.watch: Watch | None = None  # set once the head of the response was received
         self.timer: CallAfterReads | None = None  # for the first byte of the body
 
@@ -243,6 +258,7 @@
         self.outdated: OutdatedList | None = None  # deferred until it is as new as the applied list
         self.address_changed_at = -inf
         self.failure_reported = False  # and no list was received since
+        self.is_slow = False  # the last answer came after RESPONSE_TIMEOUT
         self.requests: list[WatchRequest] = []  # pending, oldest first
         self.watch: Watch | None = None
 
@@ -297,8 +313,13 @@
         self.proxy.endpoints_received(known.endpoints, known.addresses, True)
 
     def ensure_watching(self) -> None:
-        """Requests a watch, unless one is open or requested."""
-        if not self.requests and not self.watch:
+        """Requests a watch, unless one is open, or a request is not overdue yet."""
+        if self.watch is None and all(request.is_overdue for request in self.requests):
+            self.send_request()
+
+    def request_beside(self, watch: Watch) -> None:
+        """Sends a request beside an open watch that may have fallen silent; the first answered stays."""
+        if watch is self.watch and self.outdated is None and not self.requests:
             self.send_request()
 
     def send_request(self) -> None:
@@ -306,7 +327,7 @@
         clock = self.proxy.clock
         response = self.service.request_watch(self.version)
         request = WatchRequest(clock.now(), response)
-        request.timer = clock.call_after_reads(RESPONSE_TIMEOUT, self.request_timed_out, request)
+        request.timer = clock.call_after_reads(RESPONSE_TIMEOUT, self.request_overdue, request)
         self.requests.append(request)
         hedge_after = max(RETRY_DELAY, HEDGE_SHARE * self.proxy.settings.drain_grace)
         if hedge_after < RESPONSE_TIMEOUT:
@@ -317,16 +338,30 @@
 
     def hedge(self, request: WatchRequest) -> None:
         """Sends a second request if the first is still pending, as discovery may have been down for it."""
-        if request in self.requests:
+        if request in self.requests and self.watch is None:
             self.send_request()
 
-    def request_timed_out(self, request: WatchRequest) -> None:
-        """Ends a request without a response, or with a response whose body does not begin."""
-        if request.watch is None:
-            request.response.cancel()
+    def request_overdue(self, request: WatchRequest) -> None:
+        """Has another request sent, and keeps this one open unless one just before it is kept.
+
+        Requests that were sent while discovery was down are never answered, so more than one stays open.
+        """
+        request.is_overdue = True
+        if any(
+            other.is_overdue and request.requested_at < other.requested_at + OVERDUE_SPACING
+            for other in self.requests
+            if other is not request
+        ):
+            self.give_up(request)
         else:
-            request.watch.close()
-            self.request_failed("silent", request)
+            remaining = MAX_RESPONSE_TIME - RESPONSE_TIMEOUT
+            request.timer = self.proxy.clock.call_after_reads(remaining, self.give_up, request)
+        self.retry("silent")
+
+    def give_up(self, request: WatchRequest) -> None:
+        """Ends a request without a response, or with a response whose body does not begin."""
+        self.requests.remove(request)
+        request.cancel()
 
     def response_received(self, response: Any, request: WatchRequest) -> None:
         """Waits for the body of a response; any status but 200 fails the request."""
@@ -352,28 +387,38 @@
         request.stop_timer()
         self.requests.remove(request)
         self.cancel_requests()
+        quiet_watch = self.watch
         self.watch = watch
+        if quiet_watch is not None:
+            quiet_watch.close()
+        self.report_response_time(self.proxy.clock.now() - request.requested_at)
         watch.opened()
         return True
 
+    def report_response_time(self, response_time: float) -> None:
+        """Logs when discovery becomes slow, and when it is no longer so."""
+        is_slow = response_time > RESPONSE_TIMEOUT
+        if is_slow and not self.is_slow:
+            self.proxy.log(f"discovery: slow: {response_time:.1f} s to the first byte of an answer")
+        elif self.is_slow and not is_slow:
+            self.proxy.log(f"discovery: answers within {RESPONSE_TIMEOUT} s again")
+        self.is_slow = is_slow
+
     def request_failed(self, reason: Failure | str, request: WatchRequest) -> None:
-        """Schedules a retry, unless another request is pending or this one was cancelled."""
+        """Schedules a retry, unless this request was cancelled."""
         request.stop_timer()
-        if request not in self.requests:
-            return
-        self.requests.remove(request)
-        reason_text = reason if isinstance(reason, str) else type(reason.value).__name__
-        if self.requests:
-            self.report_failure(reason_text)
-        else:
-            self.schedule_retry(reason_text)
+        if request in self.requests:
+            self.requests.remove(request)
+            self.retry(reason if isinstance(reason, str) else type(reason.value).__name__)
 
-    def schedule_retry(self, reason: str) -> None:
-        """Schedules the next request after a short delay.
+    def retry(self, reason: str) -> None:
+        """Schedules the next request after a short delay, unless a watch is open.
 
         The proxy is held to changes that the local agent has, and soon to those that a silent watch misses.
         The longer pause that protects a central service of a whole fleet is therefore not used here.
         """
+        if self.watch is not None:
+            return
         # Scheduled first, as an exception in the report would otherwise end the watching for good.
         self.proxy.clock.call_later(RETRY_DELAY, self.ensure_watching)
         self.report_failure(reason)
@@ -388,12 +433,13 @@
         """Closes the watch and schedules a retry."""
         if self.watch is not None:
             self.close_watch()
-            self.schedule_retry(reason)
+            self.retry(reason)
 
     def list_received(self, encoded: Any) -> None:
         """Applies a full list or changes, or defers an outdated list. Raises MalformedListError."""
         if self.watch is None:
             return
+        self.cancel_requests()
         update = decode_list(encoded)
         self.check_order(update)
         self.version = update.version
@@ -421,6 +467,7 @@
 
     def heartbeat_received(self) -> None:
         """Reports that the applied list is current, unless a full list is awaited or deferred."""
+        self.cancel_requests()
         if self.version is not None and self.outdated is None:
             self.proxy.endpoint_list_confirmed()
 
