Lists by position are compared at a reload only; a start takes any number of items

Change: a start and a reload check each item of message_aim_us; a reload refuses a list by position (peers, message_aim_us, tenant_quota_connections) that has become shorter while what it has items for has not. What a lost item would shift is still refused where there is something to compare with.

--- a/brambleplank/platform/configuration.py
+++ b/brambleplank/platform/configuration.py
@@ -11,7 +11,12 @@
 from brambleplank.checks import InvalidConfigurationError, check_finite_numbers, check_value, parse_address
 from brambleplank.discovery.platform.endpoint_list import MalformedListError, decode_list
 from brambleplank.model import Address, Settings
-from brambleplank.platform.reload import FIXED_SETTINGS, require_same_keys, require_same_kinds
+from brambleplank.platform.reload import (
+    FIXED_SETTINGS,
+    require_full_lists,
+    require_same_keys,
+    require_same_kinds,
+)
 from brambleplank.platform.stored_values import address_text
 from brambleplank.settings import decode_settings
 from brambleplank.settings_checks import check_settings
@@ -104,6 +109,7 @@
     fleet = decode_fleet(file, settings, members, operators is not None)
     if previous:
         require_same_kinds(previous.file, file)
+        require_full_lists(previous.file, file)
     return PlatformConfiguration(
         listen=listen,
         discovery=discovery,
@@ -193,11 +199,6 @@
     for number, address in enumerate(addresses):
         if address in addresses[:number]:
             raise InvalidConfigurationError(f"peers[{number}]: {peers[number]} is used twice")
-    proxies = file["settings"]["balancers"]
-    if addresses and len(addresses) < proxies:
-        raise InvalidConfigurationError(
-            f"peers: need an address for each of {proxies} proxies (settings.balancers), not {len(addresses)}"
-        )
     return addresses
 
 
--- a/brambleplank/platform/reload.py
+++ b/brambleplank/platform/reload.py
@@ -18,6 +18,11 @@
     "settings.fees.fleet": "optional",
 }
 CONDITIONAL_KEYS = tuple(key.path for key in DEDUPLICATION_KEYS)  # an added class may need no such key
+LISTS_BY_POSITION = {  # with the key whose number, or number of items, each list has an item for
+    "peers": "settings.balancers",
+    "settings.specifics.message_aim_us": "settings.service_types",
+    "settings.specifics.tenant_quota_connections": "settings.tenants",
+}
 MISSING = object()  # counterpart of a value whose key is missing
 ITEM_NUMBER = re.compile(r"\[\d+\]")
 FIXED_SETTINGS = ("balancers", "slot_no", "az")  # settings that need a restart
@@ -89,6 +94,29 @@
             raise InvalidConfigurationError(f"{key}: need at least 0, not {new!r:.60}")
 
 
+def require_full_lists(before: Any, now: Any) -> None:
+    """Raises InvalidConfigurationError for a list by position that has become shorter by itself.
+
+    The items after a missing one would be taken for those of another proxy, class or tenant.
+    """
+    for key, counted_key in LISTS_BY_POSITION.items():
+        lost = item_count(before, key) - item_count(now, key)
+        if lost > max(0, item_count(before, counted_key) - item_count(now, counted_key)):
+            raise InvalidConfigurationError(
+                f"{key}: need an item for each of {counted_key}; {lost} are missing"
+            )
+
+
+def item_count(file: dict[str, Any], key: str) -> int:
+    """Returns the number at a key, or the number of items in the list there; 0 if there is none."""
+    value: Any = file
+    for name in key.split("."):
+        value = value.get(name) if isinstance(value, dict) else None
+    if isinstance(value, list):
+        return len(value)
+    return value if type(value) is int else 0
+
+
 def kind_of(value: Any) -> type:
     """Returns the kind of a JSON value; all numbers are of one kind."""
     return float if type(value) is int else type(value)
--- a/brambleplank/settings_checks.py
+++ b/brambleplank/settings_checks.py
@@ -166,15 +166,10 @@
 
 
 def check_message_objectives(settings: dict[str, Any]) -> None:
-    """Raises InvalidConfigurationError unless there is a valid message latency objective for each class."""
-    objectives = (settings.get("specifics") or {}).get("message_aim_us")
-    if objectives is None:
-        return
-    at = "settings.specifics.message_aim_us"
-    needed = len(settings["service_types"])
-    if len(objectives) != needed:
-        raise InvalidConfigurationError(
-            f"{at}: need a number for each of {needed} service types, not {len(objectives)}"
-        )
+    """Raises InvalidConfigurationError for an invalid message latency objective.
+
+    A class without one has its latency objective for messages too.
+    """
+    objectives = (settings.get("specifics") or {}).get("message_aim_us") or ()
     for number, objective in enumerate(objectives):
-        check_value(objective, f"{at}[{number}]", float, 1)
+        check_value(objective, f"settings.specifics.message_aim_us[{number}]", float, 1)
