An upgrade waits until the new process has each connection that it was handed

Callers saw: in an upgrade whose new process is held up for 0.14 s, clients whose server had answered UP read the end of their connection and no answer. Cause: the old process ended when its last connection was written to the channel; the new one then read the first, wrote its acknowledgement, got EPIPE, and lost the rest unread.

Change: a connection is the old process's until it is acknowledged, and the acknowledgement is written before the new one reads from it. The shutdown waits. Why it works: one process reads from a connection at a time, and what the old one ends is ended in both.

--- a/brambleplank/frontends/line/session_transfer.py
+++ b/brambleplank/frontends/line/session_transfer.py
@@ -205,8 +205,8 @@
         raise InvalidConfigurationError(f"kind: {type(error).__name__} {error}") from None
 
 
-def adopt(proxy: Proxy, stored: Any, descriptors: list[int]) -> None:
-    """Continues a connection that another process has handed off, given in its stored form.
+def adopt(proxy: Proxy, stored: Any, descriptors: list[int]) -> LineClientConnection:
+    """Continues a connection that was handed off, given in its stored form, and returns its client.
 
     Descriptors that are used are duplicated, and all given ones are closed, also after an error. Raises
     InvalidConfigurationError.
@@ -214,9 +214,8 @@
     try:
         connection = TransferredConnection.decode(stored)
         if connection.session is None:
-            adopt_pending(proxy, connection, descriptors)
-        else:
-            adopt_session(proxy, connection, connection.session, descriptors)
+            return adopt_pending(proxy, connection, descriptors)
+        return adopt_session(proxy, connection, connection.session, descriptors)
     except (OSError, IndexError, AttributeError, TypeError, UnicodeError) as error:
         # A connection may end during the handoff (OSError). One failure must not stop the other handoffs.
         raise InvalidConfigurationError(f"handed-off connection: {type(error).__name__} {error}") from None
@@ -224,8 +223,10 @@
         close_descriptors(descriptors)
 
 
-def adopt_pending(proxy: Proxy, connection: TransferredConnection, descriptors: list[int]) -> None:
-    """Continues a client whose OPEN line is incomplete."""
+def adopt_pending(
+    proxy: Proxy, connection: TransferredConnection, descriptors: list[int]
+) -> LineClientConnection:
+    """Continues a client whose OPEN line is incomplete, and returns it."""
     client = LineClientConnection(proxy)
     client.sent_ping = connection.sent_ping
     connect_transport(client, descriptors[0])
@@ -234,12 +235,13 @@
     proxy.admission.pending[client] = connected_at
     client.setTimeout(max(MIN_FIRST_LINE_TIME, connected_at + FIRST_LINE_TIMEOUT - proxy.clock.now()))
     restore_bytes(client, connection.sides[0])
+    return client
 
 
 def adopt_session(
     proxy: Proxy, connection: TransferredConnection, session: EstablishedSession, descriptors: list[int]
-) -> None:
-    """Continues an established session. Raises InvalidConfigurationError."""
+) -> LineClientConnection:
+    """Continues an established session, and returns its client. Raises InvalidConfigurationError."""
     opened = open_line.parse(session.opening_line)
     if opened is None:
         raise InvalidConfigurationError(f"line: {session.opening_line[:60]!r}")
@@ -269,6 +271,7 @@
     proxy.requests.upstream_established(upstream)
     restore_bytes(client, connection.sides[0])
     restore_bytes(upstream, connection.sides[1])
+    return client
 
 
 def connect_transport(protocol: LineClientConnection | LineUpstreamConnection, descriptor: int) -> None:
--- a/brambleplank/net/graceful_shutdown.py
+++ b/brambleplank/net/graceful_shutdown.py
@@ -59,8 +59,10 @@
 
         Besides requests and sessions, it waits until the shutdown deadline for connections that have not sent
         their whole request, in the kernel's backlog too, and `READ_GRACE` longer for clients that have not
-        read their answer.
+        read their answer. A handed-off connection is this process's until the successor acknowledges it.
         """
+        if self._requests.siblings.awaits_acknowledgement():
+            return False
         admission = self._admission
         is_overdue = now >= self._balancer.shutdown_at
         is_read_grace_over = now >= self._balancer.shutdown_at + READ_GRACE
--- a/brambleplank/net/sibling_processes.py
+++ b/brambleplank/net/sibling_processes.py
@@ -27,6 +27,9 @@
     def hand_off(self, client: ClientConnection) -> None:
         """Hands a client off to the successor, if there is one and the client's state allows it."""
 
+    def awaits_acknowledgement(self) -> bool:
+        """Returns whether a connection that was handed off has not been acknowledged yet."""
+
     def connections_at_predecessor(self, server: Server) -> int:
         """Returns the number of connections to a server that are still at the predecessor."""
 
@@ -63,6 +66,10 @@
         if self._channel is not None:
             self._channel.hand_off(client)
 
+    def awaits_acknowledgement(self) -> bool:
+        """Returns whether the successor has not acknowledged a connection that was handed off to it."""
+        return self._channel is not None and self._channel.awaits_acknowledgement()
+
     def connections_at_predecessor(self, server: Server) -> int:
         """Returns the number of connections to a server that are still at the predecessor."""
         return self._channel.connections_at_predecessor(server) if self._channel is not None else 0
--- a/brambleplank/platform/channel.py
+++ b/brambleplank/platform/channel.py
@@ -4,6 +4,7 @@
 
 import os
 from collections.abc import Iterable
+from contextlib import suppress
 from typing import Any, Protocol
 
 from twisted.internet.interfaces import IFileDescriptorReceiver
@@ -67,6 +68,12 @@
             self.transport.sendFileDescriptor(descriptor)
         self.transport.write(upgrade_messages.encode(message.encode()))
 
+    def flush(self) -> None:
+        """Writes what was sent as far as possible now; errors are handled by the event loop's next write."""
+        if self.transport.connected and not self.transport.disconnected:
+            with suppress(OSError):
+                self.transport.doWrite()
+
     def take_descriptors(self, count: int) -> list[int]:
         """Returns the oldest `count` descriptors, or fewer if fewer have arrived; the caller owns them."""
         taken = self.received_descriptors[:count]
--- a/brambleplank/platform/handoff.py
+++ b/brambleplank/platform/handoff.py
@@ -176,6 +176,10 @@
         """Hands a client off to the successor, if there is one."""
         self.transfer.hand_off(client)
 
+    def awaits_acknowledgement(self) -> bool:
+        """Returns whether a connection that was handed off has not been acknowledged yet."""
+        return self.transfer.awaits_acknowledgement()
+
     def connections_at_predecessor(self, server: Server) -> int:
         """Returns the connections at a server that the predecessor still holds."""
         return self.holdings.connections_at_predecessor(server)
