--- a/brambleplank/platform/channel.py
+++ b/brambleplank/platform/channel.py
@@ -17,7 +17,7 @@
 from brambleplank.frontends.line import session_transfer
 from brambleplank.platform import upgrade_messages
 from brambleplank.platform.takeover import TakeoverResult
-from brambleplank.platform.upgrade_messages import Listening, Message
+from brambleplank.platform.upgrade_messages import Listening, Message, SessionAdopted
 
 
 class ChannelOwner(Protocol):
@@ -63,14 +63,15 @@
             self.dataReceived(self.takeover.bytes_after_answer)  # type: ignore[no-untyped-call]
 
     def send(self, message: Message, descriptors: Iterable[int] = ()) -> None:
-        """Sends descriptors, then the message that they belong to."""
+        """Sends descriptors, then the message that they belong to.
+
+        An acknowledgement is written at once, as far as possible: the predecessor must not take a connection
+        back that this process reads from. An error is handled by the event loop's next write.
+        """
         for descriptor in descriptors:
             self.transport.sendFileDescriptor(descriptor)
         self.transport.write(upgrade_messages.encode(message.encode()))
-
-    def flush(self) -> None:
-        """Writes what was sent as far as possible now; errors are handled by the event loop's next write."""
-        if self.transport.connected and not self.transport.disconnected:
+        if isinstance(message, SessionAdopted) and self.transport.connected:
             with suppress(OSError):
                 self.transport.doWrite()
 
--- a/brambleplank/platform/connection_transfer.py
+++ b/brambleplank/platform/connection_transfer.py
@@ -149,6 +149,5 @@
         """Adopts a connection of the predecessor."""
         descriptors = channel.take_descriptors(message.sockets)
         channel.send(SessionAdopted())
-        channel.flush()  # from here on, the predecessor must not take the connection back
         self.holdings.descriptors_adopted(channel, message.sockets)
         self.adopt_stored(message.session, descriptors)
