A proxy that was stopped does not count its own stall as the slowness of servers

Callers saw: MOVE in place of the echo of a line, right after the process went on after a hold-up, though the server had answered. Cause: the check of unanswered lines runs by a timer, and timers come before reads, so answers that wait in the socket count as missing for the whole stall; the server looks slow and is relieved. Change: the check runs after reads, the first one after the start too. Why it works: what has arrived by then is read first, and only lines that are really unanswered are left.

--- a/brambleplank/net/message_times.py
+++ b/brambleplank/net/message_times.py
@@ -33,8 +33,12 @@
         self._settings = settings
 
     def sweep(self) -> None:
-        """Reports silent sessions and servers with long message times, and schedules the next sweep."""
-        self._clock.call_later(SWEEP_INTERVAL, self.sweep)
+        """Reports silent sessions and servers with long message times, and schedules the next sweep.
+
+        It runs after reads: otherwise, after a stall of this process, lines whose answers have arrived and
+        have not been read yet would count as the slowness of servers.
+        """
+        self._clock.call_after_reads(SWEEP_INTERVAL, self.sweep)
         now = self._clock.now()
         longest = self.longest_waits(now)
         for server in list(self._balancer.servers.values()):
--- a/brambleplank/net/proxy.py
+++ b/brambleplank/net/proxy.py
@@ -98,7 +98,7 @@
             self._report_drained,
             self.invariants,
         )
-        clock.call_later(SWEEP_INTERVAL, self.message_times.sweep)
+        clock.call_after_reads(SWEEP_INTERVAL, self.message_times.sweep)
         unanswered = UnansweredRequests(
             clock, self.invariants, self.requests.clients, self.requests.abort_overdue
         )
