--- a/tests/soak/clients.py
+++ b/tests/soak/clients.py
@@ -28,6 +28,44 @@
 LONG_LINE = 20000  # bytes
 
 
+class BufferedReader(asyncio.StreamReader):
+    """A reader that returns what has been received before it raises the error that ended the connection.
+
+    A write to a connection that the other side has closed fails. asyncio's reader raises that error at once,
+    and an answer that came before it would be lost.
+    """
+
+    connection_error: Exception | None = None
+
+    def set_exception(self, exc: Exception) -> None:
+        """Ends the stream; the error is raised after the last byte."""
+        self.connection_error = exc
+        self.feed_eof()
+
+    async def readline(self) -> bytes:
+        """Returns the next line, or raises the error that ended the connection."""
+        return self.checked(await super().readline())
+
+    async def read(self, n: int = -1) -> bytes:
+        """Returns up to `n` bytes, or raises the error that ended the connection."""
+        return self.checked(await super().read(n))
+
+    def checked(self, data: bytes) -> bytes:
+        """Returns the data. At the end of the stream, raises the error that ended the connection."""
+        if not data and self.connection_error is not None:
+            raise self.connection_error
+        return data
+
+
+async def open_connection(host: str, port: int) -> tuple[BufferedReader, asyncio.StreamWriter]:
+    """Connects, like asyncio.open_connection, with a reader that loses no answer. Raises OSError."""
+    loop = asyncio.get_running_loop()
+    reader = BufferedReader(loop=loop)
+    protocol = asyncio.StreamReaderProtocol(reader, loop=loop)
+    transport, _ = await loop.create_connection(lambda: protocol, host, port)
+    return reader, asyncio.StreamWriter(transport, protocol, reader, loop)
+
+
 class Client:
     """A client with a single connection, and its record."""
 
@@ -63,7 +101,7 @@
 
     async def run(self) -> ClientRecord:
         """Runs the connection from start to end and returns its record. Raises OSError or TimeoutError."""
-        connecting = asyncio.open_connection(*self.proxy.address)
+        connecting = open_connection(*self.proxy.address)
         reader, writer = await asyncio.wait_for(connecting, CONNECT_TIMEOUT)
         record = self.record
         self.records.clients.append(record)
--- a/tests/test_soak_records.py
+++ b/tests/test_soak_records.py
@@ -6,6 +6,7 @@
 import json
 import shutil
 import socket
+import struct
 import time
 from collections.abc import Callable, Coroutine
 from math import inf
@@ -15,6 +16,7 @@
 
 import pytest
 
+from tests.soak import clients
 from tests.soak.discovery import SILENCE_DETECTED_AFTER, DiscoveryAgent, Entry
 from tests.soak.drawn_settings import draw_settings
 from tests.soak.judge import RecordChecker, Violation
@@ -47,7 +49,7 @@
 async def open_watch(agent: DiscoveryAgent) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
     """Opens a watch and reads the response head and the initial list."""
     host, port = agent.address.split(":")
-    reader, writer = await asyncio.open_connection(host, int(port))
+    reader, writer = await clients.open_connection(host, int(port))
     writer.write(b"GET /discovery/hosts?watch=1 HTTP/1.1\r\n\r\n")
     await reader.readuntil(b"\r\n\r\n")
     await read_line(reader)
@@ -250,3 +252,37 @@
         assert (kept / "faults").read_text() == "1.500 kill n0\n"
     finally:
         shutil.rmtree(kept.parent)
+
+
+def test_answer_is_read_although_a_write_has_failed() -> None:
+    # Guards against a client that is judged to be reset without an answer, when its BUSY was in its buffer.
+    async def play() -> tuple[bytes, str]:
+        closed = asyncio.Event()
+
+        async def answer_and_reset(_: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            writer.write(b"PONG\r\nBUSY\r\n")
+            await writer.drain()
+            await closed.wait()
+            linger = struct.pack("ii", 1, 0)
+            writer.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+            writer.close()
+
+        server = await asyncio.start_server(answer_and_reset, "127.0.0.1", 0)
+        reader, writer = await clients.open_connection(*server.sockets[0].getsockname())
+        writer.write(b"OPEN 1a 7f c=fe")
+        assert await reader.readline() == b"PONG\r\n"  # and BUSY has come with it
+        closed.set()
+        while reader.connection_error is None:
+            writer.write(b"ed\r\n")
+            await asyncio.sleep(0)
+        line = await reader.readline()
+        try:
+            rest = (await reader.readline()).decode()
+        except ConnectionError as error:
+            rest = type(error).__name__
+        writer.close()
+        server.close()
+        return line, rest
+
+    line, rest = asyncio.run(asyncio.wait_for(play(), TEST_TIMEOUT))
+    assert line == b"BUSY\r\n" and rest in ("ConnectionResetError", "BrokenPipeError")
