Consul agents that are slow for all queries are heard

Callers would see: with agents that take more than 2.0 s to answer, no change of the servers ever arrives, as each query is given up 2.0 s after its own wait. Found by reading, shown by the test. Change: once each agent has timed out, after the two queries in a row that failover waits for, the time doubles, up to 16 s; an answer within 2.0 s to a query that does not block brings it back. Why it works: some query is then waited for long enough, and failover from a dead agent is as fast as before.

--- a/brambleplank/discovery/consul/source.py
+++ b/brambleplank/discovery/consul/source.py
@@ -33,6 +33,7 @@
 MAX_PAUSE = 5.0  # upper bound of the seconds before any retry
 FAILURES_BEFORE_FAILOVER = 2  # in a row, after which the next agent is queried
 RESPONSE_TIMEOUT = 2.0  # seconds to connect, and that an answer may take beyond the wait of its query
+MAX_RESPONSE_TIMEOUT = 16.0  # seconds; upper bound of the latter, which grows while all agents are slow
 WAIT_JITTER_FACTOR = 17 / 16  # Consul adds a jitter of up to wait / 16
 MAX_RESPONSE_SIZE = 64 * 1024**2  # bytes
 MAX_TOKEN_LENGTH = 256  # characters
@@ -105,6 +106,9 @@
         self.index = 0  # of the blocking query; 0: the agent answers immediately
         self.failures = 0  # in a row
         self.outdated_answers = 0  # in a row
+        self.response_timeout = RESPONSE_TIMEOUT  # seconds beyond the wait of a query
+        self.queried_at = 0.0
+        self.timeout_at = 0.0  # of the pending query
         self.decoder = answers.AnswerDecoder(source.settings.metadata_keys)
         self.request: defer.Deferred[Any] | None = None
 
@@ -116,7 +120,10 @@
         request = self.source.agent.request(b"GET", self.url().encode(), self.source.headers())
         self.request = request
         request.addCallback(self.read_response)
-        request.addTimeout((wait * WAIT_JITTER_FACTOR if self.index else 0) + RESPONSE_TIMEOUT, reactor)
+        timeout = (wait * WAIT_JITTER_FACTOR if self.index else 0) + self.response_timeout
+        self.queried_at = self.source.now()
+        self.timeout_at = self.queried_at + timeout
+        request.addTimeout(timeout, reactor)
         request.addCallbacks(self.response_received, self.request_failed)
         request.addErrback(self.exception_raised)
 
@@ -162,6 +169,8 @@
         if self.failures:
             self.source.log(f"consul: {self.service}: answered again by {self.address()}")
         self.failures = 0
+        if not self.index and self.source.now() < self.queried_at + RESPONSE_TIMEOUT:
+            self.response_timeout = RESPONSE_TIMEOUT
         if metadata.filtered_by_acls:
             unused = [*unused, "the token's ACLs hide some servers; missing servers are not removed"]
         self.source.log_unused(self.service, unused)
@@ -185,8 +194,19 @@
     def request_failed(self, reason: Failure) -> None:
         """Handles a query that failed or timed out."""
         self.request = None
-        if not self.source.stopped:
-            self.query_failed(type(reason.value).__name__)
+        if self.source.stopped:
+            return
+        self.query_failed(type(reason.value).__name__)
+        if self.source.now() >= self.timeout_at:
+            self.lengthen_response_timeout()
+
+    def lengthen_response_timeout(self) -> None:
+        """Doubles the response timeout once each agent has timed out; failover is as fast as before.
+
+        Agents that are slow for all queries would otherwise never be heard.
+        """
+        if self.failures % (FAILURES_BEFORE_FAILOVER * len(self.source.settings.agents)) == 0:
+            self.response_timeout = min(MAX_RESPONSE_TIMEOUT, 2 * self.response_timeout)
 
     def exception_raised(self, reason: Failure) -> None:
         """Reports an exception raised by this code, and retries the query as after any failure."""
--- a/tests/test_consul.py
+++ b/tests/test_consul.py
@@ -167,6 +167,23 @@
     assert program.process.poll() is None
 
 
+def test_agent_that_is_slow_for_all_queries_is_heard(
+    agents: Agents, start_consul_sidecar: Callable[[Consul], ConsulSidecar]
+) -> None:
+    # Guards against queries that are all given up before a slow agent answers, so that no change arrives.
+    agent, one, other = agents.start_agent(), StandInServer("UP one"), StandInServer("UP other")
+    register_servers(agents, agent, one, other)
+    program = start_consul_sidecar(consul_config(agent))
+    assert set(answers_to_requests(program, 20)) == {"UP one", "UP other"}
+    agents.apply(agent, "slow", by="3s")  # longer than a query is waited for at first
+    agents.apply(agent, "stop")
+    program.next_log_line("the last list stays in use")
+    agents.apply(agent, "start")
+    program.next_log_line("answered again")
+    agents.apply(agent, "maintain", "s0")
+    program.next_log_line("s0 draining")
+
+
 def test_errors_and_rotated_tokens_cost_nothing_and_fail_over(
     agents: Agents, start_consul_sidecar: Callable[[Consul], ConsulSidecar], tmp_path: Path
 ) -> None:
