--- a/review/8/case.py
+++ b/review/8/case.py
@@ -1,62 +1,61 @@
-"""Case 8: clients take 2 s to write their OPEN line."""
+"""Case 8: an operator drains the proxy, and an upgrade begins while the drain goes on."""
 
 from __future__ import annotations
 
 import asyncio
+import signal
 import sys
 import time
 from pathlib import Path
 
 sys.path.insert(0, str(Path(__file__).resolve().parents[1]))
 
-from second.world import Client, World, play, read_answer
+from second.world import Client, CouldNotRunError, ProxyProcess, World, open_session, play
 
-WRITE_TIME = 2.0  # seconds from the first byte of the line to its last, the page's figure
-SLACK = 0.05  # seconds; a client whose write took longer than this over its time does not count
-LATE = 0.5  # seconds after its time up to which an answer only earns nothing
-WAIT_MS = 1800
-ROUNDS = 6
-CLIENTS_A_ROUND = 10
+SESSIONS = 40
+NEXT_PROCESS_AFTER = 1.0  # seconds from the call to the start of the next process
+READY_WITHIN = 6.0  # seconds, the page's limit for the yes of the next process
+DRAINED_WITHIN = 4.0  # seconds from the call, from the page
+SLACK = 0.05  # seconds, which the protocol page adds to each limit on sockets
+WATCHED_FOR = 6.0  # seconds from the call
 
 
-async def write_line(client: Client, line: bytes, writer: asyncio.StreamWriter, write_time: float) -> float:
-    """Writes the first half of a line and then the rest; returns how long that took."""
-    middle = len(line) // 2
-    began = time.monotonic()
-    writer.write(line[:middle])
-    if write_time:
-        await asyncio.sleep(max(0.0, began + write_time - time.monotonic()))
-    writer.write(line[middle:])
-    client.sent_at = time.monotonic()
-    return client.sent_at - began
+async def upgrade(world: World, old: ProxyProcess) -> None:
+    """Starts the next process, and sends SIGTERM to the one before at its yes."""
+    new = await world.start_proxy("new", with_operators=True)
+    until = time.monotonic() + READY_WITHIN
+    while await new.call("GET", "/-/ready") != 200:
+        if time.monotonic() > until:
+            raise CouldNotRunError("the next process was not ready in time")
+        await asyncio.sleep(0.05)
+    old.send_signal(signal.SIGTERM)
 
 
-async def visit(world: World, write_time: float) -> str:
-    """Connects, writes the line, and waits for an answer; returns the break of the rule, or ""."""
-    client = world.new_client()
-    host, port = world.listen.split(":")
-    reader, writer = await asyncio.open_connection(host, int(port))
-    client.connected_at = time.monotonic()
-    line = world.opening_of(client, "point-stream", WAIT_MS)
-    took = await write_line(client, line, writer, write_time)
-    world.record.note(f"client {client.request_id} wrote {line.decode().strip()} in {took:.4f} s")
-    answer = await read_answer(world, client, reader, WAIT_MS / 1000 + LATE + SLACK)
-    writer.close()
-    if answer or took > write_time + SLACK:
-        return ""
-    how = "nothing came" if client.left_at else f"the proxy ended the connection {client.error}".strip()
-    return f"client {client.request_id} wrote its line in {took:.3f} s and had no answer: {how}"
+def held_too_long(client: Client, called_at: float) -> bool:
+    """Returns whether the client's connection was neither moved nor ended when the time was over."""
+    gone_at = client.moved_at or client.ended_at
+    return not gone_at or gone_at > called_at + DRAINED_WITHIN + SLACK
 
 
 async def story(world: World, trouble: bool) -> list[str]:
-    """Lets some clients in each round take 2 s for their line; the others write it at once."""
-    proxy = await world.start_proxy("n1")
-    await proxy.wait_until_ready()
-    breaks: list[str] = []
-    for _ in range(ROUNDS):
-        slow = [visit(world, WRITE_TIME if trouble else 0.0) for _ in range(CLIENTS_A_ROUND // 2)]
-        quick = [visit(world, 0.0) for _ in range(CLIENTS_A_ROUND // 2)]
-        breaks += [text for text in await asyncio.gather(*slow, *quick) if text]
+    """Opens connections, drains the proxy, and looks when each client was moved."""
+    old = await world.start_proxy("old", with_operators=True)
+    await old.wait_until_ready()
+    for _ in range(SESSIONS):
+        await open_session(world)
+    await asyncio.sleep(1.0)
+    if await old.call("PUT", "/-/drain") != 200:
+        raise CouldNotRunError("the drain was not answered with yes")
+    called_at = time.monotonic()
+    await asyncio.sleep(NEXT_PROCESS_AFTER)
+    if trouble:
+        await upgrade(world, old)
+    await asyncio.sleep(max(0.0, called_at + WATCHED_FOR - time.monotonic()))
+    breaks = []
+    for client in world.clients:
+        if held_too_long(client, called_at):
+            after = f"{client.moved_at - called_at:.2f} s" if client.moved_at else "never"
+            breaks.append(f"client {client.request_id} was held; moved after the drain's yes: {after}")
     return breaks
 
 
--- a/review/second/world.py
+++ b/review/second/world.py
@@ -13,6 +13,7 @@
 import tempfile
 import time
 import tomllib
+import traceback
 from collections.abc import Awaitable, Callable
 from contextlib import suppress
 from dataclasses import dataclass, field
@@ -360,8 +361,8 @@
             await server.start()
         await self.discovery.start()
 
-    async def start_proxy(self, name: str, with_operators: bool = False, **changes: Any) -> ProxyProcess:
-        """Starts a process of the proxy."""
+    async def start_proxy(self, process: str, with_operators: bool = False, **changes: Any) -> ProxyProcess:
+        """Starts a process of the proxy; `process` names it in the record, `changes` are of its file."""
         config = {
             "name": "n1",
             "listen": self.listen,
@@ -374,7 +375,7 @@
         }
         if with_operators:
             config["mgmt"] = f"{HOST}:{free_port()}"
-        proxy = ProxyProcess(self, config, name)
+        proxy = ProxyProcess(self, config, process)
         self.processes.append(proxy)
         await proxy.start()
         return proxy
@@ -406,6 +407,7 @@
 
     async def run() -> int:
         world = World(case, servers)
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, asyncio.current_task().cancel)
         try:
             await world.start()
             breaks = await asyncio.wait_for(story(world, trouble), 110.0)
@@ -414,9 +416,10 @@
             world.record.note(f"{len(breaks)} breaks of the rule, trouble {'on' if trouble else 'off'}")
             print(world.record.lines[-1].strip(), *breaks[:5], sep="\n  ")
             return BROKEN if breaks else HELD
-        except (CouldNotRunError, TimeoutError, OSError) as error:
+        except (Exception, asyncio.CancelledError) as error:
             world.record.note(f"could not run: {type(error).__name__} {error}")
-            print(world.record.lines[-1])
+            world.record.lines += traceback.format_exc().splitlines()
+            print(f"could not run: {type(error).__name__} {error}")
             return NO_RUN
         finally:
             await end_other_tasks()
