--- a/review/6/case.py
+++ b/review/6/case.py
@@ -65,7 +65,7 @@
     changed_at = time.monotonic()
     await offer_load(world, changed_at + WATCHED_FOR)
     grace = world.settings["rules"]["stop_sending_within_us"] / 1e6
-    late = changed_at + TOLD_WITHIN + grace + SLACK
+    late = changed_at + TOLD_WITHIN + grace + 2 * SLACK  # two limits
     breaks = []
     for opening in drained.openings:
         if opening.first_byte_at > late:
@@ -78,9 +78,12 @@
 async def story(world: World, trouble: bool) -> list[str]:
     """Starts both proxies, and looks whether the new one serves and the other one heeds the drain."""
     world.discovery.list_time = LIST_TIME if trouble else 0.0
+    world.settings["balancers"] = 2
     proxy = await world.start_proxy("n1")
     await proxy.wait_until_ready()
-    new = await world.start_proxy("n2", name="n2", listen=f"{HOST}:{free_port()}", known=NO_LIST)
+    settings = {**world.settings, "slot_no": 1}
+    listen = f"{HOST}:{free_port()}"
+    new = await world.start_proxy("n2", name="n2", listen=listen, known=NO_LIST, settings=settings)
     breaks, waited = await asyncio.gather(late_openings(world), time_to_ready(new))
     if waited > READY_WITHIN:
         breaks.insert(
--- a/review/8/case.py
+++ b/review/8/case.py
@@ -13,7 +13,7 @@
 from second.world import Client, CouldNotRunError, ProxyProcess, World, open_session, play
 
 SESSIONS = 40
-NEXT_PROCESS_AFTER = 1.0  # seconds from the call to the start of the next process
+NEXT_PROCESS_AFTER = 1.5  # seconds from the call to the start of the next process
 READY_WITHIN = 6.0  # seconds, the page's limit for the yes of the next process
 DRAINED_WITHIN = 4.0  # seconds from the call, from the page
 SLACK = 0.05  # seconds, which the protocol page adds to each limit on sockets
--- a/review/second/world.py
+++ b/review/second/world.py
@@ -215,14 +215,21 @@
             send_chunk(writer, json.dumps(update))
 
     async def send_first_list(self, writer: asyncio.StreamWriter) -> None:
-        """Sends the list that an answer begins with, in two parts if discovery is slow."""
+        """Sends the list that an answer begins with, in two parts if discovery is slow.
+
+        What changes meanwhile follows at once, as a whole list, with no further delay.
+        """
+        version = self.version
         data = chunk(json.dumps(self.whole()))
         middle = len(data) // 2 if self.list_time else 0
         writer.write(data[:middle])
         await asyncio.sleep(self.list_time)
         writer.write(data[middle:])
+        if version != self.version:
+            writer.write(chunk(json.dumps(self.whole())))
         await writer.drain()
-        self.record.note(f"discovery has written the list of version {self.version}")
+        gone = " to a connection that is closed" if writer.is_closing() else ""
+        self.record.note(f"discovery has written the list of version {self.version}{gone}")
 
     async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         """Answers one request, and keeps a watch open."""
@@ -350,6 +357,7 @@
         self.servers = [StandInServer(f"s-{number:08x}", self.record) for number in range(servers)]
         self.discovery = StandInDiscovery(self.servers, self.record)
         self.processes: list[ProxyProcess] = []
+        self.programs: list[asyncio.subprocess.Process] = []  # stand-ins in processes of their own
         self.settings = small_settings()
         self.numbers = itertools.count(1)
         self.clients: list[Client] = []
@@ -393,6 +401,10 @@
 
     async def end(self) -> None:
         """Ends all processes, keeps their logs in the record, and removes the temporary folder."""
+        for program in self.programs:
+            with suppress(ProcessLookupError):
+                program.kill()
+            await program.wait()
         for process in self.processes:
             await process.end()
             for line in process.log_path.read_text(errors="replace").splitlines():
