Discovery's requests, list lines and outdated list move to modules of their own

Change: moved, without a change of what is done: `watch_requests.py` (requests and their HTTP service), `list_lines.py` (joins the lines of an indented list), `outdated_list.py`. The connect timeout is passed in.

--- a/brambleplank/discovery/platform/discovery.py
+++ b/brambleplank/discovery/platform/discovery.py
@@ -18,22 +18,20 @@
 from __future__ import annotations
 
 import json
-import re
 from collections.abc import Callable
 from math import inf
 from typing import Any
 
-from twisted.internet import defer
-from twisted.internet.protocol import Protocol, connectionDone
+from twisted.internet.protocol import connectionDone
 from twisted.protocols.basic import LineReceiver
 from twisted.python.failure import Failure
-from twisted.web.client import Agent
 
 from brambleplank.discovery.platform.endpoint_list import EndpointList, MalformedListError, decode_list
-from brambleplank.model import Address, Endpoint, EndpointStatus
+from brambleplank.discovery.platform.list_lines import MAX_LIST_SIZE, ListLines
+from brambleplank.discovery.platform.outdated_list import OutdatedList
+from brambleplank.discovery.platform.watch_requests import DiscardedBody, DiscoveryService, WatchRequest
+from brambleplank.model import Address
 from brambleplank.net.clock import CallAfterReads
-from brambleplank.net.direct_connections import DirectEndpointFactory
-from brambleplank.net.loop import reactor
 from brambleplank.net.proxy import Proxy
 
 CATCH_UP_TIME = 2.5  # seconds for which discovery at a new address may serve an outdated list
@@ -47,7 +45,6 @@
 LINE_TIMEOUT = 3.0  # seconds without a complete line; discovery sends an empty one every 2 s
 QUIET_SHARE = 5 / 6  # of LINE_TIMEOUT, after which a request is sent beside the watch
 HTTP_OK = 200
-TOKEN_PATTERN = re.compile(rb'"(?:[^"\\]|\\.)*"|[{}\[\]]')  # strings and brackets
 
 
 class Watch(LineReceiver):
@@ -58,16 +55,14 @@
     """
 
     delimiter = b"\n"
-    MAX_LENGTH = 4 * 1024 * 1024
+    MAX_LENGTH = MAX_LIST_SIZE
 
     transport: Any = None
 
     def __init__(self, discovery: Discovery, request: WatchRequest) -> None:
         self.discovery = discovery
         self.request = request
-        self.lines: list[bytes] = []  # of an indented list that is still incomplete
-        self.open_brackets = 0  # nesting depth after `lines`
-        self.list_size = 0  # bytes in `lines`
+        self.lines = ListLines()
         self.incomplete_since = 0.0  # when an incomplete line or list began; 0: none
         self.incomplete_bytes = 0
         self.first_list_timeout = FIRST_LIST_TIMEOUT  # 0 after it; later lists come in one piece
@@ -131,25 +126,16 @@
             self.line_completed()
             self.discovery.heartbeat_received()
             return
-        self.list_size += len(line)
-        self.lines.append(line)
-        # Counts brackets, as parsing a long indented list again at each line would block the reactor.
-        self.open_brackets += sum(
-            (token in b"{[") - (token in b"}]") for token in TOKEN_PATTERN.findall(line)
-        )
-        if self.list_size > self.MAX_LENGTH:
-            self.discovery.watch_failed("overlong line")
-        elif not line.strip():
-            self.discovery.watch_failed("garbled: empty line within a list")
-        elif self.open_brackets <= 0:
-            self.list_completed()
-
-    def list_completed(self) -> None:
+        try:
+            text = self.lines.add(line)
+        except MalformedListError as error:
+            self.discovery.watch_failed(str(error))
+            return
+        if text is not None:
+            self.list_completed(text)
+
+    def list_completed(self, text: bytes) -> None:
         """Passes a complete list on, or fails the watch if the list is malformed."""
-        text = b"\n".join(self.lines)
-        self.lines = []
-        self.open_brackets = 0
-        self.list_size = 0
         self.line_completed()
         try:
             self.discovery.list_received(json.loads(text))
@@ -174,85 +160,12 @@
             self.discovery.request_failed("ended", self.request)
 
 
-class DiscardedBody(Protocol):
-    """Discards the body of a response that is not used."""
-
-    transport: Any = None
-
-    def connectionMade(self) -> None:  # noqa: N802
-        """Closes the connection."""
-        self.transport.loseConnection()
-
-
-class DiscoveryService:
-    """The HTTP service of discovery at one address."""
-
-    def __init__(self, address: Address) -> None:
-        self.address = address
-        self.agent = Agent.usingEndpointFactory(reactor, DirectEndpointFactory(MAX_RESPONSE_TIME))
-        self.url = b"http://%s:%d/discovery/hosts?watch=1" % (address[0].encode(), address[1])
-
-    def request_watch(self, version: int | None) -> defer.Deferred[Any]:
-        """Requests changes since a version, or the full list if there is no version."""
-        query = b"" if version is None else b"&from=%d" % version
-        request: defer.Deferred[Any] = self.agent.request(b"GET", self.url + query)
-        return request
-
-
-class WatchRequest:
-    """A request for a watch, which is pending until the first byte of the response's body."""
-
-    def __init__(self, requested_at: float, response: defer.Deferred[Any]) -> None:
-        self.requested_at = requested_at
-        self.response = response
-        self.is_overdue = False  # no byte of the body came within RESPONSE_TIMEOUT
-        self.watch: Watch | None = None  # set once the head of the response was received
-        self.timer: CallAfterReads | None = None  # for the first byte of the body
-
-    def cancel(self) -> None:
-        """Cancels the request."""
-        self.stop_timer()
-        if self.watch is None:
-            self.response.cancel()
-        else:
-            self.watch.close()
-
-    def stop_timer(self) -> None:
-        """Cancels the timer of a request that has finished."""
-        if self.timer is not None and self.timer.active():
-            self.timer.cancel()
-
-
-class OutdatedList:
-    """A list from a new address that is older than the applied one, with later changes to it merged."""
-
-    def __init__(self) -> None:
-        self.endpoints: dict[str, tuple[Endpoint, Address]] = {}
-
-    def apply(self, update: EndpointList) -> None:
-        """Merges changes, or replaces everything by a full list."""
-        if update.is_whole:
-            self.endpoints = {}
-        for endpoint in update.endpoints:
-            self.endpoints[endpoint.id] = endpoint, update.addresses[endpoint.id]
-
-    def as_list(self, version: int) -> EndpointList:
-        """Returns the merged list as a full list, without removed servers."""
-        listed = [
-            (endpoint, address)
-            for endpoint, address in self.endpoints.values()
-            if endpoint.status is not EndpointStatus.REMOVED
-        ]
-        addresses = {endpoint.id: address for endpoint, address in listed}
-        return EndpointList(version, True, [endpoint for endpoint, _ in listed], addresses)
-
-
 class Discovery:
     """Follows the endpoint list of the platform, and reports failures to the proxy."""
 
     def __init__(self, proxy: Proxy, address: Address) -> None:
         self.proxy = proxy
-        self.service = DiscoveryService(address)
+        self.service = DiscoveryService(address, MAX_RESPONSE_TIME)
         self.version: int | None = None  # received from this address; None: requests the full list
         self.newest_version = 0  # version of the applied list, whichever address it came from
         self.outdated: OutdatedList | None = None  # deferred until it is as new as the applied list
@@ -274,7 +187,7 @@
         missed in between would otherwise never be received.
         """
         self.stop()
-        self.service = DiscoveryService(address)
+        self.service = DiscoveryService(address, MAX_RESPONSE_TIME)
         self.version = None
         self.address_changed_at = self.proxy.clock.now()
         self.ensure_watching()
