Answers of discovery whose lists are slow stay open beside the next request

Cause: an answer without its first list 0.8 s after its first byte was closed, and the next one was no faster; at the first byte all other requests had been cancelled. A watch on which a list arrived for longer than 3.0 s was closed as well.

Change: what is overdue (a request without a byte, an answer without its list, a silent watch) is kept while another request is sent beside it as soon as before; the first that brings a whole line is the watch. An answer is given up after 6 s, the time within which a change counts as told; one of each kind is kept for up to 60 s; four are incomplete at most. A proxy without a list says at once what it waits for; slow lists have a log line.

Why it works: a list that needs up to 3 s is complete before its answer is given up, whatever is sent beside it, and a dead agent gets requests at the same moments as before (all tests of these unchanged).

--- a/brambleplank/discovery/platform/discovery.py
+++ b/brambleplank/discovery/platform/discovery.py
@@ -1,13 +1,19 @@
 """Follows the platform's endpoint list: a watch over HTTP, one JSON object per line.
 
 The proxy is held to a change 6 s after discovery has it, provided that discovery can be reached, whatever
-requests failed in between. In the worst sequence a watch goes silent right after a line (3.0 s to detect), a
-request is refused or not answered (0.4 s), the response to the next one stalls within the list (0.4 s to its
-first byte, 0.8 s to the full list), and another request is not answered (0.4 s). With a delay of 0.1 s before
-each request, the fourth one is sent 5.4 s after the change. `docs/design/races.md` has the timeline.
+requests failed in between, and however an answer's time of up to 3 s is split between connecting, its first
+byte and the parts of its list. Two rules follow from that:
+
+- What may still be answered is not given up for another request that would be no faster. A request without
+  an answer after 0.4 s, an answer whose first list is incomplete after 0.8 s, and a watch without a complete
+  line for 3.0 s are overdue: another request is sent, and they stay open beside it. The first of them that
+  completes a line is the watch from then on, and the others are closed.
+- Whatever is overdue is taken for dead as well, so requests are sent as if it were. In the worst sequence a
+  watch goes silent right after a line (3.0 s to detect), a request is refused or not answered (0.4 s), the
+  response to the next one stalls within the list (0.4 s to its first byte, 0.8 s to the full list), and
+  another request is not answered (0.4 s). With a delay of 0.1 s before each request, the fourth one is sent
+  5.4 s after the change. `docs/design/races.md` has the timeline.
 
-A request that is not answered in 0.4 s may have been lost, or discovery may be slow. Another one is sent, and
-the first stays open beside it: if discovery takes longer for each, the last one is no faster than the first.
 A watch that has been quiet for 2.5 s gets a request beside it, so that a slow answer to it is still in time.
 
 When discovery comes back after an outage, the proxy is held to its list immediately. A request sent just
@@ -38,9 +44,13 @@
 RETRY_DELAY = 0.1  # seconds between two requests; the agent is local, so a short delay costs nothing
 RESPONSE_TIMEOUT = 0.4  # seconds from a request to the first byte, after which another request is sent
 MAX_RESPONSE_TIME = 3.5  # seconds from a request to the first byte, after which it is given up
+MAX_ANSWER_TIME = 6.0  # seconds from the first byte to the first list, or between two lines, likewise
+MAX_KEPT_TIME = 60.0  # seconds after which the one request that is kept longer is given up
+MAX_ANSWERING = 4  # answers that may be incomplete at the same time
 OVERDUE_SPACING = 0.9  # seconds between two requests that stay open after RESPONSE_TIMEOUT
 HEDGE_SHARE = 1 / 3  # of the drain grace; the rest is for the response, and for a stall of this process
-FIRST_LIST_TIMEOUT = 0.8  # seconds from the first byte to the full list, plus the transfer time of its bytes
+# Seconds from the first byte to the full list, plus its transfer time, after which another request is sent.
+FIRST_LIST_TIMEOUT = 0.8
 MIN_TRANSFER_RATE = 1024 * 1024  # bytes per second; discovery is on this machine
 LINE_TIMEOUT = 3.0  # seconds without a complete line; discovery sends an empty one every 2 s
 QUIET_SHARE = 5 / 6  # of LINE_TIMEOUT, after which a request is sent beside the watch
@@ -48,9 +58,9 @@
 
 
 class Watch(LineReceiver):
-    """The response body of a watch, which is open from its first byte on.
+    """The response body of a watch.
 
-    Only complete lines keep a watch alive. A body that trickles in, or a line that never ends, times out as
+    Only complete lines keep a watch alive. A body that trickles in, or a line that never ends, is overdue as
     if nothing had been received.
     """
 
@@ -63,6 +73,7 @@
         self.discovery = discovery
         self.request = request
         self.lines = ListLines()
+        self.first_byte_at: float | None = None
         self.incomplete_since = 0.0  # when an incomplete line or list began; 0: none
         self.incomplete_bytes = 0
         self.first_list_timeout = FIRST_LIST_TIMEOUT  # 0 after it; later lists come in one piece
@@ -86,16 +97,17 @@
             self.discovery.request_beside(self)
 
     def timed_out(self) -> None:
-        """Fails the watch as silent, unless a long list is still arriving at the minimum rate."""
+        """Reports the next line as overdue, unless a long list is still arriving at the minimum rate."""
         transfer_time = self.first_list_timeout + self.incomplete_bytes / MIN_TRANSFER_RATE
         remaining = self.incomplete_since + transfer_time - self.discovery.proxy.clock.now()
         if self.incomplete_since and remaining > 0:
             self.start_timer(remaining)
-        elif self.discovery.watch is self:
-            self.discovery.watch_failed("silent")
+        else:
+            self.discovery.answer_overdue(self)
 
     def opened(self) -> None:
         """Starts the timer for the first line, as the watch has received its first byte."""
+        self.first_byte_at = self.discovery.proxy.clock.now()
         deadline = self.request.requested_at + RESPONSE_TIMEOUT
         self.start_timer(max(0.0, deadline - self.discovery.proxy.clock.now()))
 
@@ -105,11 +117,17 @@
         if self.transport is not None:
             self.transport.loseConnection()
 
+    def is_in_use(self) -> bool:
+        """Returns whether this is the watch of discovery, or may become it."""
+        return self.discovery.watch is self or self.request in self.discovery.requests
+
     def dataReceived(self, data: bytes) -> None:  # noqa: N802
         """Tracks the start and the size of an incomplete line or list."""
-        if self.discovery.watch is not self and not self.discovery.open_watch(self):
+        if not self.is_in_use():
             self.close()
             return
+        if self.first_byte_at is None:
+            self.discovery.answer_begun(self)
         if not self.incomplete_since:
             self.incomplete_since = self.discovery.proxy.clock.now()
         self.incomplete_bytes += len(data)
@@ -120,27 +138,34 @@
 
     def lineReceived(self, line: bytes) -> None:  # noqa: N802
         """Collects the lines of a list; an empty line between two lists is a heartbeat."""
-        if self.discovery.watch is not self:
+        if not self.is_in_use():
             return
         if not line.strip() and not self.lines:
+            if self.discovery.watch is not self:
+                self.discovery.open_watch(self)
             self.line_completed()
             self.discovery.heartbeat_received()
             return
         try:
             text = self.lines.add(line)
         except MalformedListError as error:
-            self.discovery.watch_failed(str(error))
+            self.discovery.watch_failed(str(error), self)
             return
         if text is not None:
             self.list_completed(text)
 
     def list_completed(self, text: bytes) -> None:
         """Passes a complete list on, or fails the watch if the list is malformed."""
-        self.line_completed()
         try:
-            self.discovery.list_received(json.loads(text))
+            encoded = json.loads(text)
+            if self.discovery.watch is self:
+                self.discovery.list_received(encoded)
+            else:
+                self.discovery.first_list_received(encoded, self)
         except (ValueError, RecursionError) as error:
-            self.discovery.watch_failed(f"garbled: {error}")
+            self.discovery.watch_failed(f"garbled: {error}", self)
+        else:
+            self.line_completed()
 
     def line_completed(self) -> None:
         """Restarts the timer after a complete list or heartbeat."""
@@ -149,15 +174,12 @@
 
     def lineLengthExceeded(self, line: bytes) -> None:  # noqa: N802, ARG002
         """Fails the watch."""
-        self.discovery.watch_failed("overlong line")
+        self.discovery.watch_failed("overlong line", self)
 
     def connectionLost(self, reason: Failure = connectionDone) -> None:  # noqa: N802, ARG002
         """Fails the watch, as the response has ended."""
         self.stop_timer()
-        if self.discovery.watch is self:
-            self.discovery.watch_failed("ended")
-        else:
-            self.discovery.request_failed("ended", self.request)
+        self.discovery.watch_failed("ended", self)
 
 
 class Discovery:
@@ -165,13 +187,13 @@
 
     def __init__(self, proxy: Proxy, address: Address) -> None:
         self.proxy = proxy
-        self.service = DiscoveryService(address, MAX_RESPONSE_TIME)
+        self.service = DiscoveryService(address, MAX_KEPT_TIME)
         self.version: int | None = None  # received from this address; None: requests the full list
         self.newest_version = 0  # version of the applied list, whichever address it came from
         self.outdated: OutdatedList | None = None  # deferred until it is as new as the applied list
         self.address_changed_at = -inf
         self.failure_reported = False  # and no list was received since
-        self.is_slow = False  # the last answer came after RESPONSE_TIMEOUT
+        self.is_slow = False  # the last answer, or its first list, was overdue
         self.requests: list[WatchRequest] = []  # pending, oldest first
         self.watch: Watch | None = None
 
@@ -187,7 +209,7 @@
         missed in between would otherwise never be received.
         """
         self.stop()
-        self.service = DiscoveryService(address, MAX_RESPONSE_TIME)
+        self.service = DiscoveryService(address, MAX_KEPT_TIME)
         self.version = None
         self.address_changed_at = self.proxy.clock.now()
         self.ensure_watching()
@@ -221,13 +243,18 @@
         If that is another address, its version may not be valid here, so the full list is requested next.
         """
         known = decode_list(encoded)
+        if not known.endpoints:
+            address = ":".join(map(str, self.address))
+            self.proxy.log(f"discovery: no server is known; not ready until {address} has sent a list")
         self.newest_version = known.version
         self.version = known.version if origin in (None, self.address) else None
         self.proxy.endpoints_received(known.endpoints, known.addresses, True)
 
     def ensure_watching(self) -> None:
-        """Requests a watch, unless one is open, or a request is not overdue yet."""
-        if self.watch is None and all(request.is_overdue for request in self.requests):
+        """Requests a watch, unless one is open, a request is not overdue, or enough are being answered."""
+        if self.watch is not None or not all(request.is_overdue for request in self.requests):
+            return
+        if sum(request.is_answering() for request in self.requests) < MAX_ANSWERING:
             self.send_request()
 
     def request_beside(self, watch: Watch) -> None:
@@ -239,7 +266,7 @@
         """Requests a watch, even if another request is pending."""
         clock = self.proxy.clock
         response = self.service.request_watch(self.version)
-        request = WatchRequest(clock.now(), response)
+        request = WatchRequest(clock.now(), self.version, response)
         request.timer = clock.call_after_reads(RESPONSE_TIMEOUT, self.request_overdue, request)
         self.requests.append(request)
         hedge_after = max(RETRY_DELAY, HEDGE_SHARE * self.proxy.settings.drain_grace)
@@ -251,7 +278,8 @@
 
     def hedge(self, request: WatchRequest) -> None:
         """Sends a second request if the first is still pending, as discovery may have been down for it."""
-        if request in self.requests and self.watch is None:
+        is_any_list_due = any(other.is_answering() and not other.is_overdue for other in self.requests)
+        if request in self.requests and self.watch is None and not is_any_list_due:
             self.send_request()
 
     def request_overdue(self, request: WatchRequest) -> None:
@@ -263,16 +291,33 @@
         if any(
             other.is_overdue and request.requested_at < other.requested_at + OVERDUE_SPACING
             for other in self.requests
-            if other is not request
+            if other is not request and not other.is_answering()
         ):
             self.give_up(request)
         else:
             remaining = MAX_RESPONSE_TIME - RESPONSE_TIMEOUT
-            request.timer = self.proxy.clock.call_after_reads(remaining, self.give_up, request)
+            request.timer = self.proxy.clock.call_after_reads(remaining, self.expire, request)
         self.retry("silent")
 
+    def expire(self, request: WatchRequest) -> None:
+        """Gives a request up, unless it is kept longer.
+
+        Of the requests that are being answered, and of the others, one each is kept longer: if all were given
+        up at the same age, discovery that needs more than that for each would never be heard.
+        """
+        is_answering = request.is_answering()
+        if request.is_kept_longer or any(
+            other.is_kept_longer and other.is_answering() == is_answering for other in self.requests
+        ):
+            self.give_up(request)
+            self.retry("silent")
+            return
+        request.is_kept_longer = True
+        age = self.proxy.clock.now() - request.requested_at
+        request.timer = self.proxy.clock.call_after_reads(MAX_KEPT_TIME - age, self.expire, request)
+
     def give_up(self, request: WatchRequest) -> None:
-        """Ends a request without a response, or with a response whose body does not begin."""
+        """Closes a request whose response has not begun, or has no complete line."""
         self.requests.remove(request)
         request.cancel()
 
@@ -289,33 +334,59 @@
         request.watch = Watch(self, request)
         response.deliverBody(request.watch)
 
-    def open_watch(self, watch: Watch) -> bool:
-        """Opens a watch that has received its first byte, in place of all pending requests.
+    def answer_begun(self, watch: Watch) -> None:
+        """Gives the answer to a pending request time for its first list, as its first byte was received."""
+        request = watch.request
+        request.stop_timer()
+        request.is_overdue = False
+        request.timer = self.proxy.clock.call_after_reads(MAX_ANSWER_TIME, self.expire, request)
+        watch.opened()
 
-        Returns False if its request has been cancelled.
-        """
+    def answer_overdue(self, watch: Watch) -> None:
+        """Has another request sent beside an answer whose next line is overdue, and keeps the answer open."""
         request = watch.request
-        if request not in self.requests:
-            return False
+        if watch is self.watch and self.outdated is not None:
+            self.watch_failed("silent", watch)
+            return
+        if watch is self.watch:
+            self.watch = None
+            self.requests.append(request)
+            remaining = MAX_ANSWER_TIME - LINE_TIMEOUT
+            request.timer = self.proxy.clock.call_after_reads(remaining, self.expire, request)
+        request.is_overdue = True
+        self.retry("silent")
+
+    def open_watch(self, watch: Watch) -> None:
+        """Makes an answer with a complete line the watch, in place of the one before and all requests."""
+        request = watch.request
+        if watch.first_list_timeout:
+            self.report_response_time(watch)
         request.stop_timer()
+        request.is_overdue = False
+        request.is_kept_longer = False
         self.requests.remove(request)
         self.cancel_requests()
         quiet_watch = self.watch
         self.watch = watch
         if quiet_watch is not None:
             quiet_watch.close()
-        self.report_response_time(self.proxy.clock.now() - request.requested_at)
-        watch.opened()
-        return True
-
-    def report_response_time(self, response_time: float) -> None:
-        """Logs when discovery becomes slow, and when it is no longer so."""
-        is_slow = response_time > RESPONSE_TIMEOUT
-        if is_slow and not self.is_slow:
-            self.proxy.log(f"discovery: slow: {response_time:.1f} s to the first byte of an answer")
-        elif self.is_slow and not is_slow:
+
+    def report_response_time(self, watch: Watch) -> None:
+        """Logs when discovery becomes slow, and when it is no longer so; called after a first line."""
+        now = self.proxy.clock.now()
+        first_byte_at = now if watch.first_byte_at is None else watch.first_byte_at
+        response_time = first_byte_at - watch.request.requested_at
+        list_time = now - first_byte_at
+        slowness = ""
+        if response_time > RESPONSE_TIMEOUT:
+            slowness = f"{response_time:.1f} s to the first byte of an answer"
+        elif list_time > FIRST_LIST_TIMEOUT + watch.incomplete_bytes / MIN_TRANSFER_RATE:
+            slowness = f"{list_time:.1f} s from the first byte of a list to its last"
+        if slowness and not self.is_slow:
+            self.proxy.log(f"discovery: slow: {slowness}")
+        elif self.is_slow and not slowness:
             self.proxy.log(f"discovery: answers within {RESPONSE_TIMEOUT} s again")
-        self.is_slow = is_slow
+        self.is_slow = bool(slowness)
 
     def request_failed(self, reason: Failure | str, request: WatchRequest) -> None:
         """Schedules a retry, unless this request was cancelled."""
@@ -342,19 +413,34 @@
             self.failure_reported = True
             self.proxy.endpoint_list_failed(reason)
 
-    def watch_failed(self, reason: str) -> None:
-        """Closes the watch and schedules a retry."""
-        if self.watch is not None:
+    def watch_failed(self, reason: str, watch: Watch) -> None:
+        """Closes a watch, or an answer that might have become it, and schedules a retry."""
+        if watch is self.watch:
             self.close_watch()
-            self.retry(reason)
+        elif watch.request in self.requests:
+            self.give_up(watch.request)
+        else:
+            return
+        for request in [each for each in self.requests if each.version != self.version]:
+            self.give_up(request)  # its changes would not follow the list that is now known
+        self.retry(reason)
+
+    def first_list_received(self, encoded: Any, watch: Watch) -> None:
+        """Applies the first list of an answer, which is the watch from now on. Raises MalformedListError."""
+        update = decode_list(encoded)
+        self.check_order(update)
+        self.open_watch(watch)
+        self.update_received(update)
 
     def list_received(self, encoded: Any) -> None:
-        """Applies a full list or changes, or defers an outdated list. Raises MalformedListError."""
-        if self.watch is None:
-            return
-        self.cancel_requests()
+        """Applies a list of the watch. Raises MalformedListError."""
         update = decode_list(encoded)
         self.check_order(update)
+        self.cancel_requests()
+        self.update_received(update)
+
+    def update_received(self, update: EndpointList) -> None:
+        """Applies a full list or changes, or defers an outdated list."""
         self.version = update.version
         self.failure_reported = False
         is_behind = update.version < self.newest_version and self.is_catching_up()
--- a/brambleplank/discovery/platform/watch_requests.py
+++ b/brambleplank/discovery/platform/watch_requests.py
@@ -16,6 +16,8 @@
 class OpenBody(Protocol):
     """The body of a response, as far as its request uses it."""
 
+    incomplete_since: float  # when an incomplete line or list began; 0: none
+
     def close(self) -> None:
         """Closes the connection."""
 
@@ -47,14 +49,23 @@
 
 
 class WatchRequest:
-    """A request for a watch, which is pending until the first byte of the response's body."""
+    """A request for a watch, which is pending until the first complete line of the response's body.
+
+    A watch whose next line is overdue is pending again.
+    """
 
-    def __init__(self, requested_at: float, response: defer.Deferred[Any]) -> None:
+    def __init__(self, requested_at: float, version: int | None, response: defer.Deferred[Any]) -> None:
         self.requested_at = requested_at
+        self.version = version  # changes since this version were requested; None: the full list
         self.response = response
-        self.is_overdue = False  # no byte of the body came within RESPONSE_TIMEOUT
+        self.is_overdue = False  # another request may be sent beside this one
+        self.is_kept_longer = False  # the one of its kind that is kept until MAX_KEPT_TIME
         self.watch: OpenBody | None = None  # set once the head of the response was received
-        self.timer: CallAfterReads | None = None  # for the first byte of the body
+        self.timer: CallAfterReads | None = None  # for the first byte of the body, then for giving up
+
+    def is_answering(self) -> bool:
+        """Returns whether a line or list has begun to arrive and is not complete."""
+        return self.watch is not None and self.watch.incomplete_since > 0
 
     def cancel(self) -> None:
         """Cancels the request."""
@@ -65,6 +76,6 @@
             self.watch.close()
 
     def stop_timer(self) -> None:
-        """Cancels the timer of a request that has finished."""
+        """Cancels the timer."""
         if self.timer is not None and self.timer.active():
             self.timer.cancel()
