A watch that was open from its first byte on is not taken for a new answer

Change: only an answer that is not the watch yet is asked for its first byte.

Result: tests/test_large_fleets.py and tests/test_slow_lists.py pass; no test was changed.

--- a/brambleplank/discovery/platform/discovery.py
+++ b/brambleplank/discovery/platform/discovery.py
@@ -126,7 +126,7 @@
         if not self.is_in_use():
             self.close()
             return
-        if self.first_byte_at is None:
+        if self.discovery.watch is not self and self.first_byte_at is None:
             self.discovery.answer_begun(self)
         if not self.incomplete_since:
             self.incomplete_since = self.discovery.proxy.clock.now()
