The lines of one read go on in one piece, and PING is answered a few at a time

Cause: each line of a read, up to 8,000, was split off by copying the rest, queued and noted by itself before the event loop turned to anyone else; answers to PING were queued whether the client read or not.

Change: established sessions are in raw mode on both sides; the whole lines of a read are found from behind and written once (session_lines.py), the incomplete one is kept. 16 answers to PING in one pass, more only once these have been sent.

Why it works: the work for one read no longer grows with its lines, so a connection's share of a pass is its 16 KiB.

Decisions are untouched.

--- a/brambleplank/frontends/line/client_connections.py
+++ b/brambleplank/frontends/line/client_connections.py
@@ -13,19 +13,17 @@
 from twisted.python.failure import Failure
 
 from brambleplank.frontends.line import open_line
-from brambleplank.frontends.line.upstream_connections import (
-    CRLF,
-    LineUpstreamConnection,
-    has_only_whole_lines,
-)
+from brambleplank.frontends.line.session_lines import CRLF, MAX_LINE_SIZE, split_data
+from brambleplank.frontends.line.upstream_connections import LineUpstreamConnection
 from brambleplank.interfaces import EndpointAddress, ResumedSession
 from brambleplank.net.buffers import LINGER_TIMEOUT, FlowControl
 from brambleplank.net.proxy import Proxy
 from brambleplank.records import Request
 
-MAX_LINE_LENGTH = 4094  # bytes, without the CRLF
 FIRST_LINE_TIMEOUT = 2.0  # seconds from connecting to a complete OPEN; clients send it as they connect
 MAX_TRAILING_BYTES = 64 * 1024  # bytes read and dropped after the client was sent its last line
+MAX_PINGS_PER_PASS = 16  # that one client gets answered in one pass of the event loop
+UNREAD_PING_DELAY = 0.05  # seconds until it is looked again whether a client has read its answers
 SHORT_LINGER = 0.3  # seconds that a client which broke the protocol has to read its answer
 EVICTED_LINGER = 0.1  # seconds that an evicted client has to read its answer
 REFUSED_END_CODES = frozenset(("garbled", "early", "copied", "idle", "crowded", "silent", "pinged"))
@@ -34,7 +32,7 @@
 class LineClientConnection(LineReceiver, TimeoutMixin):
     """A client's connection, from accept to close."""
 
-    MAX_LENGTH = MAX_LINE_LENGTH
+    MAX_LENGTH = MAX_LINE_SIZE - len(CRLF)
     transport: Any
 
     def __init__(self, proxy: Proxy) -> None:
@@ -47,8 +45,10 @@
         self.request: Request | None = None
         self.upstreams: list[LineUpstreamConnection] = []  # one per attempt, oldest first
         self.established_upstream: LineUpstreamConnection | None = None  # one of `upstreams`
+        self.partial_line = b""  # of an established session
         self.resumed_session: ResumedSession | None = None
         self.sent_ping = False
+        self.pings_in_pass = 0
         self.wants_notices = False
         self.connection_error = ""  # the error that broke the connection, if any
         self.end_code = ""  # the reason code of the end; "" while open
@@ -61,47 +61,76 @@
         self.setTimeout(FIRST_LINE_TIMEOUT)
 
     def dataReceived(self, data: bytes) -> None:  # noqa: N802
-        """Forwards data of whole lines directly once established; splits any other data into lines."""
+        """Answers data that can't be the beginning of a line; splits any other data into lines."""
         if not self.opening_line and not self.sent_ping and not self.end_code and not self._buffer:
             start = bytes(data[:5])
             if not (b"OPEN ".startswith(start) or b"PING\r".startswith(start)):
                 self.finish("garbled", b"ERR")
-        if (
-            self.established_upstream
-            and not self._buffer
-            and not self.end_code
-            and has_only_whole_lines(data)
-        ):
-            self.established_upstream.forward(bytes(data))
-        else:
-            super().dataReceived(data)
+        super().dataReceived(data)
 
     def rawDataReceived(self, data: bytes) -> None:  # noqa: N802
-        """Drops data received after the last line was sent.
+        """Forwards data of an established session; drops data received after the last line was sent.
 
         Reading stops at a limit, as a client could keep sending forever.
         """
+        if self.established_upstream and not self.end_code:
+            self.forward_lines(self.established_upstream, data)
+            return
         self.trailing_bytes += len(data)
         if self.trailing_bytes > MAX_TRAILING_BYTES:
             self.transport.pauseProducing()
 
+    def forward_lines(self, upstream: LineUpstreamConnection, data: bytes) -> None:
+        """Forwards the whole lines of an established session in one piece, however short they are."""
+        lines = split_data(self.partial_line + data)
+        self.partial_line = b"" if lines.is_overlong else lines.rest
+        if lines.whole_lines:
+            upstream.forward(lines.whole_lines)
+        if lines.is_overlong:
+            self.lineLengthExceeded(lines.rest)
+
+    def clearLineBuffer(self) -> bytes:  # noqa: N802
+        """Returns the incomplete line, and forgets it."""
+        partial_line: bytes = self.partial_line + super().clearLineBuffer()
+        self.partial_line = b""
+        return partial_line
+
     def lineReceived(self, line: bytes) -> None:  # noqa: N802
         """Dispatches a line according to the state of the connection."""
         if self.end_code:
             return
-        if self.established_upstream:
-            self.established_upstream.forward(line + CRLF)
-        elif self.opening_line:
+        if self.opening_line:
             # No line may follow OPEN before UP. If it were forwarded after UP, the server might fail on it,
             # and that would count against the server.
             self.proxy.requests.client_disconnected(self, False)
             self.finish("early", b"ERR")
         elif line == b"PING":
-            self.sent_ping = True
-            self.sendLine(b"PONG" if self.proxy.accepts_requests() else b"NO")
+            self.answer_ping()
         else:
             self.open_request(line)
 
+    def answer_ping(self) -> None:
+        """Answers PING; reads on in a later pass of the event loop if many came at once.
+
+        A client could send thousands in one piece: answered in one pass, they would hold up all others.
+        """
+        self.sent_ping = True
+        self.sendLine(b"PONG" if self.proxy.accepts_requests() else b"NO")
+        self.pings_in_pass += 1
+        if self.pings_in_pass >= MAX_PINGS_PER_PASS:
+            self.pauseProducing()
+            self.proxy.clock.call_later(0, self.continue_reading)
+
+    def continue_reading(self) -> None:
+        """Reads on after some answers to PING, once the client has received them."""
+        if self.end_code or self.transport.disconnected:
+            return
+        if self.transport.has_unsent_data():
+            self.proxy.clock.call_later(UNREAD_PING_DELAY, self.continue_reading)
+            return
+        self.pings_in_pass = 0
+        self.resumeProducing()
+
     def open_request(self, line: bytes) -> None:
         """Starts a request from its OPEN line, or answers ERR."""
         opened = open_line.parse_valid(line, self.proxy.settings)
@@ -163,6 +192,7 @@
     def join_upstream(self, upstream: LineUpstreamConnection) -> None:
         """Forwards lines in both directions from now on; a side that does not read pauses the other one."""
         self.established_upstream = upstream
+        self.setRawMode()
         self.transport.registerProducer(FlowControl(upstream.transport), True)
         upstream.transport.registerProducer(FlowControl(self.transport), True)
 
@@ -190,6 +220,7 @@
         self.proxy.requests.client_ended(self, self.end_code in REFUSED_END_CODES)
         self.proxy.admission.client_answered(self)
         self.setRawMode()
+        self.paused = False  # what is received from now on is dropped
         if reset:
             self.transport.close_after_flush(True)
             return
--- a/brambleplank/frontends/line/session_transfer.py
+++ b/brambleplank/frontends/line/session_transfer.py
@@ -254,7 +254,7 @@
         session.traffic_class, opened.key, opened.group(proxy.settings), server
     )
     upstream = LineUpstreamConnection(proxy, client, 0, upstream_endpoint_of(server))
-    upstream.established = True
+    upstream.establish()
     upstream.unanswered_since = session.unanswered_since
     upstream.last_line = session.last_line
     client.upstreams.append(upstream)
--- a/brambleplank/frontends/line/upstream_connections.py
+++ b/brambleplank/frontends/line/upstream_connections.py
@@ -11,6 +11,7 @@
 from twisted.protocols.basic import LineReceiver
 from twisted.python.failure import Failure
 
+from brambleplank.frontends.line.session_lines import CRLF, MAX_LINE_SIZE, last_line, split_data
 from brambleplank.interfaces import ClientConnection, EndpointAddress
 from brambleplank.model import AttemptOutcome
 from brambleplank.net.buffers import UpstreamConnector
@@ -20,10 +21,9 @@
 from brambleplank.net.proxy import Proxy
 
 DEADLINE_FIELD = re.compile(rb"(?<=[ ,])d=\d+")
+LOAD = b"LOAD "
 UP_LINE = re.compile(rb"UP [!-~]+")
-MAX_LINE_SIZE = 4096  # bytes, including the CRLF
 RESUME_TIMEOUT = 40.0  # seconds to reach the server of a resumed session; after that the session is lost
-CRLF = b"\r\n"
 END_CODES = {
     AttemptOutcome.OK: "bye",
     AttemptOutcome.CANCELLED: "drained",
@@ -32,9 +32,11 @@
 FINAL_OUTCOMES = {b"BYE": AttemptOutcome.OK, b"MOVE": AttemptOutcome.CANCELLED, b"ERR": AttemptOutcome.ERROR}
 
 
-def has_only_whole_lines(data: bytes | memoryview) -> bool:
-    """Returns whether data ends with CRLF and is so short that no line in it can be too long."""
-    return len(data) <= MAX_LINE_SIZE and data[-2:] == CRLF
+def has_reply(whole_lines: bytes) -> bool:
+    """Returns whether any line answers the client; LOAD tells the connection's load and does not."""
+    if LOAD not in whole_lines:
+        return True
+    return not all(line.startswith(LOAD) for line in whole_lines[: -len(CRLF)].split(CRLF))
 
 
 class AttemptingClient(ClientConnection, Protocol):
@@ -73,6 +75,7 @@
         self.ended = False
         self.unanswered_since = 0.0  # when the oldest unanswered line was forwarded; 0: none
         self.last_line = b""
+        self.partial_line = b""  # of an established session
         self.timer: DelayedCall | None = None
         self.connector: UpstreamConnector | None = None
 
@@ -143,25 +146,35 @@
         self.unanswered_since = self.unanswered_since or self.proxy.clock.now()
         self.transport.write(lines)
 
-    def dataReceived(self, data: bytes) -> None:  # noqa: N802
-        """Forwards data of whole lines directly once established; splits any other data into lines."""
-        if self.established and not self.ended and not self._buffer and has_only_whole_lines(data):
-            lines = bytes(data)
-            if b"LOAD " not in lines:
-                # How the session ended is decided by the last line before the close.
-                self.last_line = lines[: -len(CRLF)].rsplit(CRLF, 1)[-1]
+    def rawDataReceived(self, data: bytes) -> None:  # noqa: N802
+        """Forwards the whole lines of an established session in one piece, however short they are.
+
+        A step per line would let one server or client that sends very short lines hold up all others.
+        """
+        if self.ended or self.transport.disconnecting:
+            return
+        lines = split_data(self.partial_line + data)
+        self.partial_line = b"" if lines.is_overlong else lines.rest
+        if lines.whole_lines:
+            # How the session ended is decided by the last line before the close.
+            self.last_line = last_line(lines.whole_lines)
+            if has_reply(lines.whole_lines):
                 self.unanswered_since = 0.0
-                self.client.transport.write(lines)
-                return
-        super().dataReceived(data)
+            self.client.transport.write(lines.whole_lines)
+        if lines.is_overlong:
+            self.lineLengthExceeded(lines.rest)
+
+    def clearLineBuffer(self) -> bytes:  # noqa: N802
+        """Returns the incomplete line, and forgets it."""
+        partial_line: bytes = self.partial_line + super().clearLineBuffer()
+        self.partial_line = b""
+        return partial_line
 
     def lineReceived(self, line: bytes) -> None:  # noqa: N802
-        """Handles the answer to OPEN, and any later line that was not forwarded directly."""
+        """Handles the answer to OPEN."""
         if self.ended:
             return
-        if self.established:
-            self.forward_reply(line)
-        elif UP_LINE.fullmatch(line):
+        if UP_LINE.fullmatch(line):
             self.up_received(line)
         else:
             # Any other answer leaves open whether the request has run, so it counts as an error.
@@ -173,17 +186,15 @@
             # An attempt that could not be cancelled may succeed after the client was answered.
             self.end(AttemptOutcome.CANCELLED)
             return
-        self.established = True
+        self.establish()
         self.cancel_timer()
         self.client.upstream_established(self, line)
         self.proxy.requests.upstream_established(self)
 
-    def forward_reply(self, line: bytes) -> None:
-        """Forwards a line of the server; LOAD does not count as an answer to a client's line."""
-        self.last_line = line
-        if not line.startswith(b"LOAD "):
-            self.unanswered_since = 0.0
-        self.client.sendLine(line)
+    def establish(self) -> None:
+        """Marks the session as established; what is received from now on is forwarded."""
+        self.established = True
+        self.setRawMode()
 
     def end_code(self, outcome: AttemptOutcome) -> str:
         """Returns the reason code of a session that its server ended with this outcome."""
--- a/brambleplank/net/buffers.py
+++ b/brambleplank/net/buffers.py
@@ -82,6 +82,11 @@
             BUFFER_POOL.release(buffer)
         return None
 
+    def has_unsent_data(self) -> bool:
+        """Returns whether buffered data has not been written yet."""
+        transport: Any = self
+        return bool(len(transport.dataBuffer) > transport.offset or transport._tempDataLen)
+
     def writeSomeData(self, data: bytes) -> Any:  # noqa: N802
         """Writes as much as the socket accepts, and counts the bytes."""
         count = super().writeSomeData(data)  # type: ignore[misc]
