Write buffers join small pieces and pause the other side at 8 KiB

Cause: what is not read waits in Twisted's write buffer as a list of the pieces that were written; a piece of 3 bytes takes over 40. The limit of 64 KiB a direction is itself too much at 4,096 descriptors.

Change: the other side is paused beyond 8 KiB; more than 64 pieces are joined into one.

Why it works: a direction holds 8 KiB, one read and one incomplete line, however small its writes are.

Not tried: an upgrade while buffers are full.

--- a/brambleplank/net/buffers.py
+++ b/brambleplank/net/buffers.py
@@ -25,6 +25,10 @@
 BUFFER_SIZE = 16 * 1024  # bytes; holds several lines of the maximum length
 BACKLOG = 1024  # connections in the kernel's queue; each may already have sent its first line
 MAX_ACCEPTS_PER_PASS = 100  # connections in one iteration of the event loop
+# Bytes that wait for the other side to read, beyond which the side that they come from is not read. Together
+# with one read and an incomplete line, that bounds what one direction of a session holds.
+WRITE_BUFFER_SIZE = 8 * 1024
+MAX_WRITE_PIECES = 64  # pieces of a write buffer that are kept apart; a piece of 3 bytes takes over 40
 ACCEPT_RETRY_DELAY = 0.02  # seconds after accept failed on this machine
 LINGER_TIMEOUT = 1.5  # seconds for the other side to read the remaining data and close its end
 
@@ -60,6 +64,8 @@
 
     socket: socket
     protocol: Any
+    _tempDataBuffer: list[bytes]  # noqa: N815  Twisted's name, as is the next one
+    bufferSize = WRITE_BUFFER_SIZE  # noqa: N815
     written = 0
     resetting = False
 
@@ -82,6 +88,12 @@
             BUFFER_POOL.release(buffer)
         return None
 
+    def write(self, data: bytes) -> None:
+        """Buffers data; many small pieces are joined, as each takes far more memory than its bytes."""
+        super().write(data)  # type: ignore[misc]
+        if len(self._tempDataBuffer) > MAX_WRITE_PIECES:
+            self._tempDataBuffer = [b"".join(self._tempDataBuffer)]
+
     def has_unsent_data(self) -> bool:
         """Returns whether buffered data has not been written yet."""
         transport: Any = self
