An id is refused for its whole minute, whatever other requests come meanwhile

Cause: `ConnectionAdmission` forgot the oldest beyond 8,192 ids, whatever their age; a request that no attempt was made for took a place as well; an id that was released again kept its place in the order.

Change: ids are forgotten by age alone. At 65,536 ids in use or reserved a new request is answered BUSY (`end id_limit`), which is safe. The id of a request without an attempt is free at once. An id that is released again goes to the end.

Why it works: nothing but the end of its 60 s takes an id out, and the bound is met by the request that has not run yet.

--- a/brambleplank/frontends/line/client_connections.py
+++ b/brambleplank/frontends/line/client_connections.py
@@ -16,6 +16,7 @@
 from brambleplank.frontends.line.session_lines import CRLF, MAX_LINE_SIZE, split_data
 from brambleplank.frontends.line.upstream_connections import LineUpstreamConnection
 from brambleplank.interfaces import EndpointAddress, ResumedSession
+from brambleplank.net.admission import IdStatus
 from brambleplank.net.buffers import LINGER_TIMEOUT, FlowControl
 from brambleplank.net.proxy import Proxy
 from brambleplank.records import Request
@@ -26,7 +27,9 @@
 UNREAD_PING_DELAY = 0.05  # seconds until it is looked again whether a client has read its answers
 SHORT_LINGER = 0.3  # seconds that a client which broke the protocol has to read its answer
 EVICTED_LINGER = 0.1  # seconds that an evicted client has to read its answer
-REFUSED_END_CODES = frozenset(("garbled", "early", "copied", "idle", "crowded", "silent", "pinged"))
+REFUSED_END_CODES = frozenset(
+    ("garbled", "early", "copied", "id_limit", "idle", "crowded", "silent", "pinged")
+)
 
 
 class LineClientConnection(LineReceiver, TimeoutMixin):
@@ -137,11 +140,14 @@
         if not opened:
             self.finish("garbled", b"ERR")
             return
-        if not self.proxy.admission.request_opened(self, opened.id):
-            # The id is in use, or was lately: a server that has that request would answer this one with an
-            # error.
+        status = self.proxy.admission.request_opened(self, opened.id)
+        if status is IdStatus.DUPLICATE:
+            # A server that has that request would answer this one with an error, or run it a second time.
             self.finish("copied", b"ERR")
             return
+        if status is IdStatus.TABLE_FULL:
+            self.finish("id_limit", b"BUSY")
+            return
         self.setTimeout(None)
         self.id = opened.id
         self.opened_at = self.proxy.clock.now()
--- a/brambleplank/frontends/line/session_transfer.py
+++ b/brambleplank/frontends/line/session_transfer.py
@@ -163,7 +163,7 @@
         )
         upstream.ended = True
         proxy.requests.session_handed_off(upstream)
-        proxy.admission.request_ended(client.id)
+        proxy.admission.request_ended(client.id, was_attempted=True)
     client.end_code = "handed"
     proxy.requests.client_closed(client)
     return DetachedConnection(
--- a/brambleplank/net/request_lifecycle.py
+++ b/brambleplank/net/request_lifecycle.py
@@ -165,7 +165,7 @@
         age = self.clock.now() - client.opened_at if client.opened_at else 0.0
         self.event_log.client_ended(client, age, turned_away)
         if client.id:
-            self.admission.request_ended(client.id)
+            self.admission.request_ended(client.id, was_attempted=bool(client.upstreams))
             if client.end_code not in ANSWERED_END_CODES and client.established_upstream is None:
                 self.invariants.request_unanswered(client.id, f"ended as {client.end_code}, with no answer")
         if self.fleet_admission:
