The end of a client is seen behind bytes that are not read yet

Cause: `has_ended` peeked for the end of the stream; while any byte is unread, a peek shows that byte.

Change: with bytes unread, `poll` is asked for POLLRDHUP, which the system reports whatever is unread.

--- a/brambleplank/frontends/line/client_connections.py
+++ b/brambleplank/frontends/line/client_connections.py
@@ -2,8 +2,9 @@
 
 from __future__ import annotations
 
+import select
 from math import inf
-from socket import MSG_DONTWAIT, MSG_PEEK
+from socket import MSG_DONTWAIT, MSG_PEEK, socket
 from typing import Any
 
 from twisted.internet.error import ConnectionDone
@@ -26,6 +27,7 @@
 MAX_PINGS_PER_PASS = 16  # that one client gets answered in one pass of the event loop
 UNREAD_PING_DELAY = 0.05  # seconds until it is looked again whether a client has read its answers
 SHORT_LINGER = 0.3  # seconds that a client which broke the protocol has to read its answer
+CLOSED_EVENTS = select.POLLRDHUP | select.POLLHUP | select.POLLERR
 EVICTED_LINGER = 0.1  # seconds that an evicted client has to read its answer
 REFUSED_END_CODES = frozenset(
     ("garbled", "early", "copied", "id_limit", "idle", "crowded", "silent", "pinged")
@@ -176,11 +178,12 @@
         if self.end_code or self.transport is None or self.transport.disconnected:
             return True
         try:
-            return not self.transport.socket.recv(1, MSG_PEEK | MSG_DONTWAIT)
+            unread = self.transport.socket.recv(1, MSG_PEEK | MSG_DONTWAIT)
         except BlockingIOError:
             return False
         except OSError:
             return True
+        return not unread or other_side_has_closed(self.transport.socket)
 
     def open_upstream(self, endpoint: EndpointAddress, wait: float) -> None:
         """Starts an attempt, which times out after `wait` seconds (0: the timeout of resumed sessions)."""
@@ -295,6 +298,13 @@
         self.proxy.requests.client_closed(self)
 
 
+def other_side_has_closed(connection: socket) -> bool:
+    """Returns whether the other side has ended its sending, also if bytes before that are still unread."""
+    poller = select.poll()
+    poller.register(connection, select.POLLRDHUP)
+    return any(events & CLOSED_EVENTS for _, events in poller.poll(0))
+
+
 def error_text(reason: Failure) -> str:
     """Returns the transport's name of the error that broke a connection."""
     arguments = reason.value.args if reason.value else ()
--- a/tests/test_request_ids.py
+++ b/tests/test_request_ids.py
@@ -2,12 +2,15 @@
 
 from __future__ import annotations
 
+import socket
+from contextlib import closing
 from types import SimpleNamespace
 from typing import Any
 
 from hypothesis import given
 from hypothesis import strategies as st
 
+from brambleplank.frontends.line.client_connections import LineClientConnection
 from brambleplank.net.admission import ID_LIFETIME, MAX_IDS, ConnectionAdmission, IdStatus
 from tests.overrides import override
 from tests.stand_ins import StandInServer
@@ -108,3 +111,16 @@
     assert again.read_line() == "ERR"
     assert server.opening_count == 4
     assert "end id_limit " in program.stop()
+
+
+def test_client_that_has_left_is_seen_behind_bytes_that_are_not_read_yet() -> None:
+    # Guards against an attempt for a client that closed its connection with much still unread.
+    with closing(socket.create_server(("127.0.0.1", 0))) as listener:
+        peer = socket.create_connection(listener.getsockname())
+        with closing(listener.accept()[0]) as accepted:
+            client = LineClientConnection(SimpleNamespace())  # type: ignore[arg-type]
+            client.transport = SimpleNamespace(socket=accepted, disconnected=False)
+            peer.sendall(b"x" * 20_000)
+            assert not client.has_ended()
+            peer.close()
+            assert client.has_ended()
