The time of an operator's drain goes on in the next process of an upgrade

Cause: the state that goes along said that the proxy drains, not since when; `adopt_drain` began the drain at the takeover. The moves off a server that an operator took out began anew in the same way.

Change: `draining_since` goes along while a proxy drains (the stored form is otherwise the same); moves off a server are timed from when it was taken out. The state of an older release begins at the takeover, as before.

Why it works: both processes time the moves from the call, whichever holds the session.

--- a/brambleplank/net/operator_commands.py
+++ b/brambleplank/net/operator_commands.py
@@ -51,7 +51,7 @@
         rotation: Rotation,
         siblings: SiblingProcesses,
     ) -> None:
-        self.draining = False
+        self.draining_since: float | None = None  # by `Clock.now`; None: no operator is draining the proxy
         self._target = target
         self._clock = clock
         self._log = log
@@ -59,6 +59,11 @@
         self._rotation = rotation
         self._siblings = siblings
 
+    @property
+    def draining(self) -> bool:
+        """Whether an operator is draining the proxy."""
+        return self.draining_since is not None
+
     def readiness(self) -> CommandResult:
         """Returns whether the proxy is ready to accept clients."""
         if self._target.stopping:
@@ -86,10 +91,12 @@
 
     def drain(self) -> CommandResult:
         """Drains the proxy: migrates all clients; clients that still connect are served and migrated too."""
+        now = self._clock.now()
         if not self.draining and not self._target.stopping:
-            self._balancer.begin_shutdown(self._clock.now())
+            self._balancer.begin_shutdown(now)
         self._log.write_line("operator: drain" + (" (it was)" if self.draining else ""))
-        self.draining = True
+        if not self.draining:
+            self.draining_since = now
         self._siblings.broadcast_command(CommandKind.DRAIN)
         return CommandResult(True, "draining")
 
@@ -99,15 +106,18 @@
             return CommandResult(False, "leaving")
         self._log.write_line("operator: resume" + ("" if self.draining else " (it was not draining)"))
         if self.draining:
-            self.draining = False
+            self.draining_since = None
             self._balancer.cancel_shutdown(self._clock.now())
         self._siblings.broadcast_command(CommandKind.RESUME)
         return CommandResult(True, "taking flows")
 
-    def adopt_drain(self, now: float) -> None:
-        """Continues a drain that was started at the predecessor process."""
-        self.draining = True
-        self._balancer.begin_shutdown(now)
+    def adopt_drain(self, since: float) -> None:
+        """Continues a drain that was started at the predecessor process, at a time by `Clock.now`.
+
+        Its time goes on: the operator was promised that all clients are moved within it.
+        """
+        self.draining_since = since
+        self._balancer.begin_shutdown(since)
 
     def _persist(self, command: CommandKind, server_id: str, text: str) -> CommandResult:
         if self._siblings.broadcast_command(command, server_id):
--- a/brambleplank/platform/handoff_state.py
+++ b/brambleplank/platform/handoff_state.py
@@ -146,6 +146,7 @@
     """Readiness, drain and start time of the proxy, and the offset of its clock."""
 
     draining: bool
+    draining_since: float | None  # None: unknown, in the state of an older release, or not draining
     serving: bool
     started_at: float
     epoch_offset: float | None  # None in the state of an older release
@@ -153,16 +154,25 @@
     @classmethod
     def capture(cls, proxy: Proxy) -> LifecycleState:
         """Captures the state of this process."""
-        return cls(proxy.draining, proxy.serving, proxy.started_at, proxy.clock.epoch_offset)
+        return cls(
+            draining=proxy.draining,
+            draining_since=proxy.operator_commands.draining_since,
+            serving=proxy.serving,
+            started_at=proxy.started_at,
+            epoch_offset=proxy.clock.epoch_offset,
+        )
 
     def encode(self) -> dict[str, Any]:
         """Returns the stored form, as plain values for JSON."""
-        return {
+        stored = {
             "draining": self.draining,
             "serving": self.serving,
             "started": self.started_at,
             "clock": self.epoch_offset,
         }
+        if self.draining_since is not None:
+            stored["draining_since"] = self.draining_since
+        return stored
 
     @classmethod
     def decode(cls, stored: dict[str, Any]) -> LifecycleState:
@@ -171,6 +181,9 @@
             check_value(stored.get(key), f"estate.{key}", bool)
         return cls(
             draining=stored["draining"],
+            draining_since=decode_number(stored["draining_since"], "estate.draining_since")
+            if "draining_since" in stored
+            else None,
             serving=stored["serving"],
             started_at=decode_number(stored.get("started"), "estate.started"),
             epoch_offset=decode_number(stored["clock"], "estate.clock") if "clock" in stored else None,
@@ -319,12 +332,15 @@
         self.migrate_from_servers_out_of_rotation(proxy)
         proxy.admission.reserve_ids(self.used_ids)
         if self.lifecycle.draining:
-            proxy.operator_commands.adopt_drain(proxy.clock.now())
+            since = self.lifecycle.draining_since
+            proxy.operator_commands.adopt_drain(proxy.clock.now() if since is None else since)
 
     def migrate_from_servers_out_of_rotation(self, proxy: Proxy) -> None:
-        """Migrates sessions from servers that are out of rotation, also those that are handed off later."""
-        now = proxy.clock.now()
-        for server_id in self.rotation.out_since:
+        """Migrates sessions from servers that are out of rotation, also those that are handed off later.
+
+        Their time goes on from when the server was taken out.
+        """
+        for server_id, since in self.rotation.out_since.items():
             server = proxy.balancer.servers.get(server_id)
             if server is not None:
-                proxy.balancer.migrate_all_from(now, server)
+                proxy.balancer.migrate_all_from(since, server)
