A shutdown during a drain leaves the time of the drain to its sessions

Cause: `Migration.begin_shutdown` set the end for all sessions anew.

Change: sessions are moved by the earlier end (`migrate_all_by`); the end of the shutdown itself is as before, so clients that still connect or read their answer have as long as before.

Result: the test failed before and passes; tests/test_upgrade_clocks.py and tests/test_draining.py 6 passed.

--- a/brambleplank/decisions/migration.py
+++ b/brambleplank/decisions/migration.py
@@ -21,16 +21,22 @@
         self.context = context
         self.groups = groups
         self.shutdown_at = inf  # when a planned shutdown ends; infinity: none is planned
+        self.migrate_all_by = inf  # when the first shutdown or drain that was not cancelled ends
 
     def begin_shutdown(self, now: float, servers: Iterable[Server]) -> None:
-        """Schedules the migration of all sessions, including those established later."""
+        """Schedules the migration of all sessions, including those established later.
+
+        A shutdown during a drain leaves the time of the drain to its sessions.
+        """
         self.shutdown_at = now + self.context.settings.shutdown_time
+        self.migrate_all_by = min(self.migrate_all_by, self.shutdown_at)
         for server in servers:
             self.schedule(now, sessions_at(server))
 
     def cancel_shutdown(self) -> None:
         """Keeps the sessions that have not been migrated yet."""
         self.shutdown_at = inf
+        self.migrate_all_by = inf
 
     def migrate_all_from(self, now: float, server: Server) -> None:
         """Schedules the migration of all sessions at the server, until it is listed as ready again."""
@@ -44,7 +50,7 @@
 
     def deadline(self, request: Request) -> float:
         """Returns the time by which the session has to be migrated; infinity if it stays."""
-        return min(self.shutdown_at, request.attempts[-1].server.migrate_by)
+        return min(self.migrate_all_by, request.attempts[-1].server.migrate_by)
 
     def schedule(self, now: float, requests: Iterable[Request]) -> None:
         """Schedules the migration of the sessions at random times shortly before the deadline.
--- a/tests/test_upgrade_clocks.py
+++ b/tests/test_upgrade_clocks.py
@@ -7,6 +7,7 @@
 
 from brambleplank.net.proxy import Proxy
 from brambleplank.platform.handoff_state import HandoffState
+from tests.fake_host import FakeHost, HostCall
 from tests.sample_settings import DECODED_SETTINGS, endpoint_list
 from tests.stand_ins import StandInServer
 from tests.test_handoff_state import make_proxy
@@ -69,3 +70,16 @@
     assert {client.read_line() for client in clients} == {"MOVE"}
     assert time.monotonic() < called_at + DRAINED_WITHIN
     assert successor.process.poll() is None
+
+
+def test_session_that_is_established_after_sigterm_in_a_drain_is_moved_by_the_end_of_the_drain() -> None:
+    # Guards against a shutdown that begins the time of an operator's drain anew.
+    host = FakeHost()
+    shutdown_time = host.balancer.settings.shutdown_time
+    host.balancer.begin_shutdown(host.now)
+    host.advance(0.5 * shutdown_time)
+    host.balancer.begin_shutdown(host.now)
+    request = host.establish(host.request())
+    host.advance(0.5 * shutdown_time)
+    assert (HostCall.MIGRATE, request) in host.recorded_calls
+    assert host.balancer.shutdown_at == host.now + 0.5 * shutdown_time
