The time in the kernel's queue counts as the grace of an idle connection

Cause: six connections were accepted at a time, and each had 0.05 s from its accept before it was evicted, some 120 a second; a queue of 1,024 takes over 8 s. When accepting was paused, only the timer of 0.05 s looked again.

Change: the time since the last packet of a connection, as the system tells it at accept (TCP_INFO), counts as its grace; idle connections are looked for when accepting is paused; one whose first bytes have arrived unread is not evicted.

Why it works: a connection that has waited in the queue without a byte needs no second wait, so the queue is worked off as fast as its clients close, and true requests are read as soon as they are accepted.

Crowds that stay after their answer are not tried.

--- a/brambleplank/frontends/line/client_connections.py
+++ b/brambleplank/frontends/line/client_connections.py
@@ -54,6 +54,7 @@
         self.resumed_session: ResumedSession | None = None
         self.sent_ping = False
         self.pings_in_pass = 0
+        self.has_sent = False  # whether any byte of it was read
         self.wants_notices = False
         self.connection_error = ""  # the error that broke the connection, if any
         self.end_code = ""  # the reason code of the end; "" while open
@@ -62,11 +63,12 @@
         """Registers the connection and starts the timeout for the first line."""
         self.transport.setTcpNoDelay(True)
         self.proxy.admission.descriptors_changed(1)
-        self.proxy.admission.client_connected(self)
+        self.proxy.admission.client_connected(self, self.transport.queue_time)
         self.setTimeout(FIRST_LINE_TIMEOUT)
 
     def dataReceived(self, data: bytes) -> None:  # noqa: N802
         """Answers data that can't be the beginning of a line; splits any other data into lines."""
+        self.has_sent = True
         if not self.opening_line and not self.sent_ping and not self.end_code and not self._buffer:
             start = bytes(data[:5])
             if not (b"OPEN ".startswith(start) or b"PING\r".startswith(start)):
@@ -255,6 +257,10 @@
         if not self.opening_line:
             self.finish("idle")
 
+    def has_unread_line(self) -> bool:
+        """Returns whether the first data of the client has arrived and was not read yet."""
+        return not self.has_sent and bool(self.transport.has_unread_data())
+
     def evict(self) -> None:
         """Closes an idle connection to free its descriptor."""
         if self.end_code:
@@ -327,6 +333,10 @@
         """Returns how many more connections may be accepted now."""
         return self.proxy.admission.accept_capacity()
 
+    def accept_paused(self) -> None:
+        """Handles that no connection can be accepted now, so that others wait in the kernel's queue."""
+        self.proxy.admission.evict_idle()
+
     def accept_failed(self, number: int | None) -> None:
         """Records the errno of a failed accept call."""
         self.proxy.local_faults.record("accept", number)
--- a/brambleplank/interfaces.py
+++ b/brambleplank/interfaces.py
@@ -133,6 +133,9 @@
     def close_from_upstream(self, code: str, reset: bool) -> None:
         """Closes the connection because the server closed the session; `reset`: with a connection reset."""
 
+    def has_unread_line(self) -> bool:
+        """Returns whether the first data of the client has arrived and was not read yet."""
+
     def evict(self) -> None:
         """Closes an idle connection to free its descriptor."""
 
--- a/brambleplank/net/buffers.py
+++ b/brambleplank/net/buffers.py
@@ -5,7 +5,8 @@
 import os
 from contextlib import suppress
 from errno import errorcode
-from socket import SO_ERROR, SOL_SOCKET, socket
+from socket import IPPROTO_TCP, MSG_DONTWAIT, MSG_PEEK, SO_ERROR, SOL_SOCKET, TCP_INFO, socket
+from struct import Struct
 from typing import Any
 
 from twisted.internet import main, tcp
@@ -30,6 +31,10 @@
 WRITE_BUFFER_SIZE = 8 * 1024
 MAX_WRITE_PIECES = 64  # pieces of a write buffer that are kept apart; a piece of 3 bytes takes over 40
 ACCEPT_RETRY_DELAY = 0.02  # seconds after accept failed on this machine
+# `tcpi_last_ack_recv` of Linux' `struct tcp_info`, in milliseconds.
+LAST_PACKET_FIELD = Struct("@I")
+LAST_PACKET_OFFSET = 56
+TCP_INFO_SIZE = LAST_PACKET_OFFSET + LAST_PACKET_FIELD.size
 LINGER_TIMEOUT = 1.5  # seconds for the other side to read the remaining data and close its end
 
 
@@ -68,6 +73,7 @@
     bufferSize = WRITE_BUFFER_SIZE  # noqa: N815
     written = 0
     resetting = False
+    queue_time = 0.0  # seconds that an accepted connection had waited in the kernel's queue
 
     def doRead(self) -> Any:  # noqa: N802
         """Reads once; returns the reason if the connection has ended."""
@@ -99,6 +105,27 @@
         transport: Any = self
         return bool(len(transport.dataBuffer) > transport.offset or transport._tempDataLen)
 
+    def time_since_last_packet(self) -> float:
+        """Returns the seconds since the client's last packet; 0 if the system does not tell.
+
+        Right after accept, this is the time that an idle connection has waited in the kernel's queue.
+        """
+        try:
+            info = self.socket.getsockopt(IPPROTO_TCP, TCP_INFO, TCP_INFO_SIZE)
+        except OSError:
+            return 0.0
+        if len(info) < TCP_INFO_SIZE:
+            return 0.0
+        milliseconds: int = LAST_PACKET_FIELD.unpack_from(info, LAST_PACKET_OFFSET)[0]
+        return milliseconds / 1000
+
+    def has_unread_data(self) -> bool:
+        """Returns whether data of the client has arrived and was not read yet."""
+        try:
+            return bool(self.socket.recv(1, MSG_PEEK | MSG_DONTWAIT))
+        except OSError:
+            return False
+
     def writeSomeData(self, data: bytes) -> Any:  # noqa: N802
         """Writes as much as the socket accepts, and counts the bytes."""
         count = super().writeSomeData(data)  # type: ignore[misc]
@@ -233,6 +260,7 @@
         capacity = self.factory.accept_capacity()
         if capacity <= 0:
             self.pause()
+            self.factory.accept_paused()
             return
         for _ in range(min(MAX_ACCEPTS_PER_PASS, capacity)):
             try:
@@ -254,6 +282,7 @@
         self.sessionno += 1
         protocol = self.factory.buildProtocol(self._buildAddr(address))  # type: ignore[attr-defined]
         transport = self.transport(accepted, protocol, address, self, number, self.reactor)
+        transport.queue_time = transport.time_since_last_packet()
         try:
             protocol.makeConnection(transport)
         except Exception:
--- a/tests/flood.py
+++ b/tests/flood.py
@@ -35,6 +35,7 @@
     UNREAD = "unread"  # send short lines and read nothing
     LINES = "lines"  # clients: send short lines and read what comes back
     PINGS = "pings"  # clients: send PING without a session, and read the answers
+    IDLE = "idle"  # clients: connect, send nothing, and close once the proxy has answered or ended it
 
 
 class Flood:
@@ -127,6 +128,24 @@
     return None
 
 
+def run_idle_clients(number: int, until: float, address: tuple[str, int]) -> None:
+    """Connects all clients at once, and closes each when something has come on it."""
+    poller = select.epoll()
+    clients: dict[int, socket.socket] = {}
+    for _ in range(number):
+        client = socket.socket()
+        client.setblocking(False)
+        with suppress(BlockingIOError):
+            client.connect(address)
+        clients[client.fileno()] = client
+        poller.register(client.fileno(), select.EPOLLIN)
+    print(len(clients), flush=True)
+    while clients and time.monotonic() < until:
+        for descriptor, _ in poller.poll(POLL_TIME):
+            poller.unregister(descriptor)
+            clients.pop(descriptor).close()
+
+
 def run_clients(kind: Kind, number: int, until: float, address: tuple[str, int]) -> None:
     """Opens all sessions, then floods."""
     sender = Sender(PINGS if kind is Kind.PINGS else SHORT_LINES, reads=kind is not Kind.UNREAD)
@@ -201,7 +220,10 @@
         Servers(kind, number).run(until)
         return
     host, port = address.split(":")
-    run_clients(kind, number, until, (host, int(port)))
+    if kind is Kind.IDLE:
+        run_idle_clients(number, until, (host, int(port)))
+    else:
+        run_clients(kind, number, until, (host, int(port)))
 
 
 if __name__ == "__main__":
