--- a/brambleplank/discovery/platform/discovery.py
+++ b/brambleplank/discovery/platform/discovery.py
@@ -35,6 +35,12 @@
 from brambleplank.discovery.platform.endpoint_list import EndpointList, MalformedListError, decode_list
 from brambleplank.discovery.platform.list_lines import MAX_LIST_SIZE, ListLines
 from brambleplank.discovery.platform.outdated_list import OutdatedList
+from brambleplank.discovery.platform.pending_requests import (
+    MAX_ANSWER_TIME,
+    MAX_KEPT_TIME,
+    RESPONSE_TIMEOUT,
+    PendingRequests,
+)
 from brambleplank.discovery.platform.watch_requests import DiscardedBody, DiscoveryService, WatchRequest
 from brambleplank.model import Address
 from brambleplank.net.clock import CallAfterReads
@@ -42,12 +48,6 @@
 
 CATCH_UP_TIME = 2.5  # seconds for which discovery at a new address may serve an outdated list
 RETRY_DELAY = 0.1  # seconds between two requests; the agent is local, so a short delay costs nothing
-RESPONSE_TIMEOUT = 0.4  # seconds from a request to the first byte, after which another request is sent
-MAX_RESPONSE_TIME = 3.5  # seconds from a request to the first byte, after which it is given up
-MAX_ANSWER_TIME = 6.0  # seconds from the first byte to the first list, or between two lines, likewise
-MAX_KEPT_TIME = 60.0  # seconds after which the one request that is kept longer is given up
-MAX_ANSWERING = 4  # answers that may be incomplete at the same time
-OVERDUE_SPACING = 0.9  # seconds between two requests that stay open after RESPONSE_TIMEOUT
 HEDGE_SHARE = 1 / 3  # of the drain grace; the rest is for the response, and for a stall of this process
 # Seconds from the first byte to the full list, plus its transfer time, after which another request is sent.
 FIRST_LIST_TIMEOUT = 0.8
@@ -194,7 +194,7 @@
         self.address_changed_at = -inf
         self.failure_reported = False  # and no list was received since
         self.is_slow = False  # the last answer, or its first list, was overdue
-        self.requests: list[WatchRequest] = []  # pending, oldest first
+        self.requests = PendingRequests(proxy.clock, self.retry)
         self.watch: Watch | None = None
 
     @property
@@ -217,14 +217,7 @@
     def stop(self) -> None:
         """Closes the watch and cancels all requests."""
         self.close_watch()
-        self.cancel_requests()
-
-    def cancel_requests(self) -> None:
-        """Cancels all pending requests for a watch."""
-        requests = self.requests
-        self.requests = []
-        for request in requests:
-            request.cancel()
+        self.requests.cancel_all()
 
     def close_watch(self) -> None:
         """Closes the watch, if there is one."""
@@ -252,9 +245,7 @@
 
     def ensure_watching(self) -> None:
         """Requests a watch, unless one is open, a request is not overdue, or enough are being answered."""
-        if self.watch is not None or not all(request.is_overdue for request in self.requests):
-            return
-        if sum(request.is_answering() for request in self.requests) < MAX_ANSWERING:
+        if self.watch is None and self.requests.may_add():
             self.send_request()
 
     def request_beside(self, watch: Watch) -> None:
@@ -267,8 +258,7 @@
         clock = self.proxy.clock
         response = self.service.request_watch(self.version)
         request = WatchRequest(clock.now(), self.version, response)
-        request.timer = clock.call_after_reads(RESPONSE_TIMEOUT, self.request_overdue, request)
-        self.requests.append(request)
+        self.requests.add(request)
         hedge_after = max(RETRY_DELAY, HEDGE_SHARE * self.proxy.settings.drain_grace)
         if hedge_after < RESPONSE_TIMEOUT:
             clock.call_later(hedge_after, self.hedge, request)
@@ -278,49 +268,9 @@
 
     def hedge(self, request: WatchRequest) -> None:
         """Sends a second request if the first is still pending, as discovery may have been down for it."""
-        is_any_list_due = any(other.is_answering() and not other.is_overdue for other in self.requests)
-        if request in self.requests and self.watch is None and not is_any_list_due:
+        if request in self.requests and self.watch is None and not self.requests.is_list_due():
             self.send_request()
 
-    def request_overdue(self, request: WatchRequest) -> None:
-        """Has another request sent, and keeps this one open unless one just before it is kept.
-
-        Requests that were sent while discovery was down are never answered, so more than one stays open.
-        """
-        request.is_overdue = True
-        if any(
-            other.is_overdue and request.requested_at < other.requested_at + OVERDUE_SPACING
-            for other in self.requests
-            if other is not request and not other.is_answering()
-        ):
-            self.give_up(request)
-        else:
-            remaining = MAX_RESPONSE_TIME - RESPONSE_TIMEOUT
-            request.timer = self.proxy.clock.call_after_reads(remaining, self.expire, request)
-        self.retry("silent")
-
-    def expire(self, request: WatchRequest) -> None:
-        """Gives a request up, unless it is kept longer.
-
-        Of the requests that are being answered, and of the others, one each is kept longer: if all were given
-        up at the same age, discovery that needs more than that for each would never be heard.
-        """
-        is_answering = request.is_answering()
-        if request.is_kept_longer or any(
-            other.is_kept_longer and other.is_answering() == is_answering for other in self.requests
-        ):
-            self.give_up(request)
-            self.retry("silent")
-            return
-        request.is_kept_longer = True
-        age = self.proxy.clock.now() - request.requested_at
-        request.timer = self.proxy.clock.call_after_reads(MAX_KEPT_TIME - age, self.expire, request)
-
-    def give_up(self, request: WatchRequest) -> None:
-        """Closes a request whose response has not begun, or has no complete line."""
-        self.requests.remove(request)
-        request.cancel()
-
     def response_received(self, response: Any, request: WatchRequest) -> None:
         """Waits for the body of a response; any status but 200 fails the request."""
         if request not in self.requests:
@@ -336,36 +286,26 @@
 
     def answer_begun(self, watch: Watch) -> None:
         """Gives the answer to a pending request time for its first list, as its first byte was received."""
-        request = watch.request
-        request.stop_timer()
-        request.is_overdue = False
-        request.timer = self.proxy.clock.call_after_reads(MAX_ANSWER_TIME, self.expire, request)
+        self.requests.answer_begun(watch.request)
         watch.opened()
 
     def answer_overdue(self, watch: Watch) -> None:
         """Has another request sent beside an answer whose next line is overdue, and keeps the answer open."""
-        request = watch.request
         if watch is self.watch and self.outdated is not None:
             self.watch_failed("silent", watch)
             return
         if watch is self.watch:
             self.watch = None
-            self.requests.append(request)
-            remaining = MAX_ANSWER_TIME - LINE_TIMEOUT
-            request.timer = self.proxy.clock.call_after_reads(remaining, self.expire, request)
-        request.is_overdue = True
+            self.requests.keep_silent_watch(watch.request, MAX_ANSWER_TIME - LINE_TIMEOUT)
+        watch.request.is_overdue = True
         self.retry("silent")
 
     def open_watch(self, watch: Watch) -> None:
         """Makes an answer with a complete line the watch, in place of the one before and all requests."""
-        request = watch.request
         if watch.first_list_timeout:
             self.report_response_time(watch)
-        request.stop_timer()
-        request.is_overdue = False
-        request.is_kept_longer = False
-        self.requests.remove(request)
-        self.cancel_requests()
+        self.requests.take(watch.request)
+        self.requests.cancel_all()
         quiet_watch = self.watch
         self.watch = watch
         if quiet_watch is not None:
@@ -392,7 +332,7 @@
         """Schedules a retry, unless this request was cancelled."""
         request.stop_timer()
         if request in self.requests:
-            self.requests.remove(request)
+            self.requests.take(request)
             self.retry(reason if isinstance(reason, str) else type(reason.value).__name__)
 
     def retry(self, reason: str) -> None:
@@ -418,11 +358,10 @@
         if watch is self.watch:
             self.close_watch()
         elif watch.request in self.requests:
-            self.give_up(watch.request)
+            self.requests.give_up(watch.request)
         else:
             return
-        for request in [each for each in self.requests if each.version != self.version]:
-            self.give_up(request)  # its changes would not follow the list that is now known
+        self.requests.give_up_other_versions(self.version)
         self.retry(reason)
 
     def first_list_received(self, encoded: Any, watch: Watch) -> None:
@@ -436,7 +375,7 @@
         """Applies a list of the watch. Raises MalformedListError."""
         update = decode_list(encoded)
         self.check_order(update)
-        self.cancel_requests()
+        self.requests.cancel_all()
         self.update_received(update)
 
     def update_received(self, update: EndpointList) -> None:
@@ -466,7 +405,7 @@
 
     def heartbeat_received(self) -> None:
         """Reports that the applied list is current, unless a full list is awaited or deferred."""
-        self.cancel_requests()
+        self.requests.cancel_all()
         if self.version is not None and self.outdated is None:
             self.proxy.endpoint_list_confirmed()
 
--- a/brambleplank/net/buffers.py
+++ b/brambleplank/net/buffers.py
@@ -31,7 +31,7 @@
 WRITE_BUFFER_SIZE = 8 * 1024
 MAX_WRITE_PIECES = 64  # pieces of a write buffer that are kept apart; a piece of 3 bytes takes over 40
 ACCEPT_RETRY_DELAY = 0.02  # seconds after accept failed on this machine
-# `tcpi_last_ack_recv` of Linux' `struct tcp_info`, in milliseconds.
+# The field tcpi_last_ack_recv of the struct tcp_info of Linux, in milliseconds.
 LAST_PACKET_FIELD = Struct("@I")
 LAST_PACKET_OFFSET = 56
 TCP_INFO_SIZE = LAST_PACKET_OFFSET + LAST_PACKET_FIELD.size
