Soak: a plan in which all agents of discovery are slow and servers drain

Change: `--troubles slow-discovery`: agents take up to 1.5 s to the first byte and as long again for the list, their watches are reset or silenced, two servers drain for the rest of the run, proxies are suspended, reloaded, upgraded or killed meanwhile.

Damaged reloads and held-up upgrades still have no plan.

--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -9,7 +9,7 @@
 from pathlib import Path
 
 from tests.soak.run import run_soak
-from tests.soak.simulation import SimulationPlan
+from tests.soak.simulation import SimulationPlan, Troubles
 
 
 def main() -> int:
@@ -22,6 +22,8 @@
     parser.add_argument("--rate", type=float, default=120.0, help="requests per second over all proxies")
     parser.add_argument("--logs", type=Path, help="directory for the proxies' logs")
     parser.add_argument("--most", type=int, default=4, help="maximum number of violations printed per rule")
+    kinds = [kind.value for kind in Troubles]
+    parser.add_argument("--troubles", default=Troubles.MIXED.value, choices=kinds, help="faults to draw from")
     arguments = parser.parse_args()
     first, _, last = arguments.seeds.partition("-")
     logs = arguments.logs or Path(tempfile.mkdtemp(prefix="soak-"))
@@ -31,7 +33,13 @@
     for seed in range(int(first), int(last or first) + 1):
         folder = logs / f"seed-{seed}"
         plan = SimulationPlan(
-            seed, folder, arguments.proxies, arguments.servers, arguments.seconds, arguments.rate
+            seed,
+            folder,
+            arguments.proxies,
+            arguments.servers,
+            arguments.seconds,
+            arguments.rate,
+            troubles=Troubles(arguments.troubles),
         )
         result = run_soak(plan)
         print(result.text(arguments.most), flush=True)
--- a/tests/soak/discovery.py
+++ b/tests/soak/discovery.py
@@ -22,9 +22,18 @@
 SILENCE_DETECTED_AFTER = 6.0  # seconds in which a proxy must detect a silent watch and replace it
 PIECE_SIZE = 97  # bytes per write, when an agent writes in pieces
 RESPONSE_HEAD = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+TOLD_WITHIN = 6.0  # seconds from when an agent has a change until its proxy counts as notified
 Entry = dict[str, Any]  # a server in discovery's format
 
 
+@dataclass(frozen=True)
+class AnswerDelays:
+    """How long a slow agent takes for each answer, in seconds."""
+
+    first_byte: float
+    list_time: float  # from the first byte of the list to its last
+
+
 @dataclass(frozen=True)
 class Delivery:
     """When an agent's proxy counts as notified of changes, and how the agent handled them."""
@@ -80,6 +89,7 @@
         self.watches: set[Watch] = set()  # the open ones
         self.outages = 0  # how many are in progress; they may overlap
         self.sends_pieces = False
+        self.delays: AnswerDelays | None = None  # None: answers at once
         self.missed_changes: list[Entry] = []  # changes made during an outage
         self.down_until = 0.0
         self.unwatched_since = 0.0  # infinite while a watch is open
@@ -122,12 +132,17 @@
             if self.is_down:
                 await reader.read()
                 return
-            writer.write(RESPONSE_HEAD)
             since = re.search(r"from=(\d+)", head)
-            answer = self.changes_since(int(since[1])) if since else self.full_list()
+            version = int(since[1]) if since else None
+            if self.delays is not None:
+                version = await self.send_list_slowly(writer, version, self.delays)
+            else:
+                writer.write(RESPONSE_HEAD)
+            answer = self.full_list() if version is None else self.changes_since(version)
             self.watches.add(watch)
             self.unwatched_since = inf
-            watch.send(json.dumps(answer, indent=1 if self.sends_pieces else None), self.sends_pieces)
+            if self.delays is None or version != self.version:
+                watch.send(json.dumps(answer, indent=1 if self.sends_pieces else None), self.sends_pieces)
             # The proxy sends nothing after its request, so a read returns only at its close. Silent watches
             # are read as well, so that their close is noticed.
             while not await wait_for_eof(reader, KEEPALIVE_INTERVAL):
@@ -139,6 +154,19 @@
             self.remove_watch(watch)
             writer.close()
 
+    async def send_list_slowly(
+        self, writer: asyncio.StreamWriter, since: int | None, delays: AnswerDelays
+    ) -> int:
+        """Sends the first list of an answer in two parts; returns its version."""
+        await asyncio.sleep(delays.first_byte)
+        writer.write(RESPONSE_HEAD)
+        version = self.version
+        data = encode_chunk(json.dumps(self.full_list() if since is None else self.changes_since(since)))
+        writer.write(data[: len(data) // 2])
+        await asyncio.sleep(delays.list_time)
+        writer.write(data[len(data) // 2 :])
+        return version
+
     def remove_watch(self, watch: Watch) -> None:
         """Removes a closed watch.
 
@@ -172,6 +200,8 @@
                 watch.send(text, self.sends_pieces, now)
         in_pieces = " in pieces" if self.sends_pieces else ""
         text = f"{now:.3f} sent{in_pieces} to {len(live)} of {len(self.watches)} watches"
+        if self.delays is not None:
+            return Delivery(now + TOLD_WITHIN, f"{text}, answers take {self.delays}")
         if live or not self.watches:
             return Delivery(now, text)
         silent_since = max(watch.silent_since for watch in self.watches)
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -11,9 +11,11 @@
 
 from tests.soak.judge import RecordChecker, Violation
 from tests.soak.records import Records
-from tests.soak.simulation import Simulation, SimulationPlan
+from tests.soak.simulation import Simulation, SimulationPlan, Troubles
+from tests.soak.slow_discovery import slow_discovery_down
 from tests.soak.troubles import inject_faults
 
+FAULTS_BY_TROUBLES = {Troubles.MIXED: inject_faults, Troubles.SLOW_DISCOVERY: slow_discovery_down}
 MAX_TOTAL_LAG = 2.0  # seconds, summed over the run, by which the simulating process may be late
 
 
@@ -58,7 +60,7 @@
 def run_soak(plan: SimulationPlan) -> RunResult:
     """Runs the simulation and checks its records against the rules."""
     simulation = Simulation(plan)
-    records = asyncio.run(simulation.run(inject_faults(simulation)))
+    records = asyncio.run(simulation.run(FAULTS_BY_TROUBLES[plan.troubles](simulation)))
     violations = RecordChecker(records, simulation.settings, plan.rate, plan.servers).check_all()
     # Runs with an injected defect violate rules on purpose.
     kept_logs = keep_logs(plan, records) if violations and not plan.patch else None
--- a/tests/soak/simulation.py
+++ b/tests/soak/simulation.py
@@ -11,6 +11,7 @@
 from collections.abc import Coroutine
 from contextlib import suppress
 from dataclasses import dataclass
+from enum import Enum
 from math import inf
 from pathlib import Path
 from random import Random
@@ -48,6 +49,13 @@
 LATE_NOTIFICATION = (0.05, 0.8)  # seconds
 
 
+class Troubles(Enum):
+    """Which faults a run draws from. Each kind has its own generator, so that seeds play on as they did."""
+
+    MIXED = "mixed"
+    SLOW_DISCOVERY = "slow-discovery"
+
+
 @dataclass(frozen=True)
 class SimulationPlan:
     """Parameters of one run. `patch` is code that each proxy process runs before the program."""
@@ -59,6 +67,7 @@
     seconds: float
     rate: float  # requests per second over all proxies
     patch: str = ""
+    troubles: Troubles = Troubles.MIXED
 
 
 class Subnet:
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -2,15 +2,17 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
 from pathlib import Path
 
 import pytest
 
 from tests.overrides import overrides
 from tests.soak.run import run_soak
-from tests.soak.simulation import SimulationPlan
+from tests.soak.simulation import SimulationPlan, Troubles
 
 SEEDS = (3, 11)
+SLOW_DISCOVERY_SEEDS = (1, 2)
 MAX_SEEDS = 9  # seeds tried until a defect is detected
 INVARIANTS = "brambleplank.decisions.request_invariants:RequestInvariants"
 IGNORE_IDEMPOTENCY = {"brambleplank.decisions.idempotency:IdempotencyStage.excludes": "lambda *what: False"}
@@ -47,9 +49,14 @@
 
 
 def run_short(seed: int, folder: Path, patch: str = "") -> tuple[set[str], str]:
-    """Returns the rules violated in a short run, and its summary; repeats an inconclusive run up to twice."""
+    """Returns the rules violated in a short run, and its summary."""
+    return run_plan(SimulationPlan(seed, folder, 6, 6, 7.0, 40.0, patch))
+
+
+def run_plan(plan: SimulationPlan) -> tuple[set[str], str]:
+    """Returns the rules violated in a run, and its summary; repeats an inconclusive run up to twice."""
     for number in range(3):
-        result = run_soak(SimulationPlan(seed, folder / str(number), 6, 6, 7.0, 40.0, patch))
+        result = run_soak(replace(plan, folder=plan.folder / str(number)))
         if not result.is_inconclusive:
             return {violation.rule for violation in result.violations}, result.text(5)
     return set(), "inconclusive: machine overloaded"
@@ -62,6 +69,15 @@
     assert not violated_rules, text
 
 
+@pytest.mark.timeout(180)
+@pytest.mark.parametrize("seed", SLOW_DISCOVERY_SEEDS)
+def test_drains_are_heeded_while_discovery_is_slow(tmp_path: Path, seed: int) -> None:
+    # Guards against agents whose first bytes or lists are late, so that drains are never learnt.
+    plan = SimulationPlan(seed, tmp_path, 4, 6, 16.0, 40.0, troubles=Troubles.SLOW_DISCOVERY)
+    violated_rules, text = run_plan(plan)
+    assert not violated_rules, text
+
+
 @pytest.mark.timeout(180)
 @pytest.mark.parametrize("rule", DEFECTS)
 def test_injected_defect_is_detected(tmp_path: Path, rule: str) -> None:
