--- a/tests/test_request_ids.py
+++ b/tests/test_request_ids.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import signal
 import socket
 from contextlib import closing
 from types import SimpleNamespace
@@ -15,6 +16,7 @@
 from tests.overrides import override
 from tests.stand_ins import StandInServer
 from tests.test_sockets import StartProgram, server_list
+from tests.test_upgrade import first, wait_until_ready
 
 CLIENT: Any = object()
 SMALL_TABLE = override("brambleplank.net.admission:MAX_IDS", 4)
@@ -124,3 +126,25 @@
             assert not client.has_ended()
             peer.close()
             assert client.has_ended()
+
+
+def test_id_of_a_request_that_is_out_at_the_old_process_is_refused_by_the_next(
+    start_program: StartProgram,
+) -> None:
+    # Guards against an id that runs twice, at the two processes of an upgrade.
+    server = StandInServer(answer=None)
+    program = first(start_program, server)
+    wait_until_ready(program)
+    client = program.open_request()
+    _, server_side = server.next_opening()
+    successor = wait_until_ready(program.upgrade())
+    again = successor.connect(f"OPEN {program.request_id(1)} 7f c=feed,t=acme,d=900")
+    assert again.read_line() == "ERR"
+    program.process.send_signal(signal.SIGTERM)
+    again = successor.connect(f"OPEN {program.request_id(1)} 7f c=feed,t=acme,d=900")
+    assert again.read_line() == "ERR" and server.opening_count == 1
+    server_side.send_line("UP r1")
+    assert client.read_line() == "UP r1"
+    program.remaining_log()
+    again = successor.connect(f"OPEN {program.request_id(1)} 7f c=feed,t=acme,d=900")
+    assert again.read_line() == "ERR" and server.opening_count == 1
