The order of discovery's lists moves to a module of its own, free of I/O

Change: `ListVersions` decides it, with `now` passed in; `Discovery` requests and applies. Nothing that is done differs. Two words of tests/soak/discovery.py are renamed with it.

--- a/brambleplank/discovery/platform/discovery.py
+++ b/brambleplank/discovery/platform/discovery.py
@@ -15,17 +15,14 @@
   5.4 s after the change. `docs/design/races.md` has the timeline.
 
 A watch that has been quiet for 2.5 s gets a request beside it, so that a slow answer to it is still in time.
-
-When discovery comes back after an outage, the proxy is held to its list immediately. A request sent just
-before that is never answered. If the drain grace is short, a second request is therefore sent before the
-first one times out.
+After an outage the proxy is held to the list immediately, but a request sent just before its end is never
+answered. If the drain grace is short, a second one is therefore sent before the first is overdue.
 """
 
 from __future__ import annotations
 
 import json
 from collections.abc import Callable
-from math import inf
 from typing import Any
 
 from twisted.internet.protocol import connectionDone
@@ -34,7 +31,7 @@
 
 from brambleplank.discovery.platform.endpoint_list import EndpointList, MalformedListError, decode_list
 from brambleplank.discovery.platform.list_lines import MAX_LIST_SIZE, ListLines
-from brambleplank.discovery.platform.outdated_list import OutdatedList
+from brambleplank.discovery.platform.list_versions import ListVersions
 from brambleplank.discovery.platform.pending_requests import (
     MAX_ANSWER_TIME,
     MAX_KEPT_TIME,
@@ -46,7 +43,6 @@
 from brambleplank.net.clock import CallAfterReads
 from brambleplank.net.proxy import Proxy
 
-CATCH_UP_TIME = 2.5  # seconds for which discovery at a new address may serve an outdated list
 RETRY_DELAY = 0.1  # seconds between two requests; the agent is local, so a short delay costs nothing
 HEDGE_SHARE = 1 / 3  # of the drain grace; the rest is for the response, and for a stall of this process
 # Seconds from the first byte to the full list, plus its transfer time, after which another request is sent.
@@ -66,7 +62,6 @@
 
     delimiter = b"\n"
     MAX_LENGTH = MAX_LIST_SIZE
-
     transport: Any = None
 
     def __init__(self, discovery: Discovery, request: WatchRequest) -> None:
@@ -188,10 +183,7 @@
     def __init__(self, proxy: Proxy, address: Address) -> None:
         self.proxy = proxy
         self.service = DiscoveryService(address, MAX_KEPT_TIME)
-        self.version: int | None = None  # received from this address; None: requests the full list
-        self.newest_version = 0  # version of the applied list, whichever address it came from
-        self.outdated: OutdatedList | None = None  # deferred until it is as new as the applied list
-        self.address_changed_at = -inf
+        self.versions = ListVersions()
         self.failure_reported = False  # and no list was received since
         self.is_slow = False  # the last answer, or its first list, was overdue
         self.requests = PendingRequests(proxy.clock, self.retry)
@@ -202,6 +194,16 @@
         """The address of discovery."""
         return self.service.address
 
+    @property
+    def version(self) -> int | None:
+        """The version received from the current address; None: the full list is requested."""
+        return self.versions.received
+
+    @property
+    def newest_version(self) -> int:
+        """The version of the applied list, whichever address it came from."""
+        return self.versions.newest
+
     def change_address(self, address: Address) -> None:
         """Follows discovery at another address from now on; the applied list stays in use.
 
@@ -210,8 +212,7 @@
         """
         self.stop()
         self.service = DiscoveryService(address, MAX_KEPT_TIME)
-        self.version = None
-        self.address_changed_at = self.proxy.clock.now()
+        self.versions.address_changed(self.proxy.clock.now())
         self.ensure_watching()
 
     def stop(self) -> None:
@@ -223,10 +224,7 @@
         """Closes the watch, if there is one."""
         watch = self.watch
         self.watch = None
-        if self.outdated is not None:
-            # The deferred list was not applied. A request for changes since its version would skip them.
-            self.outdated = None
-            self.version = None
+        self.versions.discard_deferred()
         if watch is not None:
             watch.close()
 
@@ -239,8 +237,7 @@
         if not known.endpoints:
             address = ":".join(map(str, self.address))
             self.proxy.log(f"discovery: no server is known; not ready until {address} has sent a list")
-        self.newest_version = known.version
-        self.version = known.version if origin in (None, self.address) else None
+        self.versions.list_known(known.version, is_from_here=origin in (None, self.address))
         self.proxy.endpoints_received(known.endpoints, known.addresses, True)
 
     def ensure_watching(self) -> None:
@@ -250,7 +247,7 @@
 
     def request_beside(self, watch: Watch) -> None:
         """Sends a request beside an open watch that may have fallen silent; the first answered stays."""
-        if watch is self.watch and self.outdated is None and not self.requests:
+        if watch is self.watch and not (self.versions.is_deferring or self.requests):
             self.send_request()
 
     def send_request(self) -> None:
@@ -291,7 +288,7 @@
 
     def answer_overdue(self, watch: Watch) -> None:
         """Has another request sent beside an answer whose next line is overdue, and keeps the answer open."""
-        if watch is self.watch and self.outdated is not None:
+        if watch is self.watch and self.versions.is_deferring:
             self.watch_failed("silent", watch)
             return
         if watch is self.watch:
@@ -349,7 +346,7 @@
 
     def report_failure(self, reason: str) -> None:
         """Reports a failure, unless one was reported since the last list or the address has just changed."""
-        if not self.failure_reported and not self.is_catching_up():
+        if not self.failure_reported and not self.versions.is_catching_up(self.proxy.clock.now()):
             self.failure_reported = True
             self.proxy.endpoint_list_failed(reason)
 
@@ -367,68 +364,37 @@
     def first_list_received(self, encoded: Any, watch: Watch) -> None:
         """Applies the first list of an answer, which is the watch from now on. Raises MalformedListError."""
         update = decode_list(encoded)
-        self.check_order(update)
+        self.versions.check_order(update)
         self.open_watch(watch)
         self.update_received(update)
 
     def list_received(self, encoded: Any) -> None:
         """Applies a list of the watch. Raises MalformedListError."""
         update = decode_list(encoded)
-        self.check_order(update)
+        self.versions.check_order(update)
         self.requests.cancel_all()
         self.update_received(update)
 
     def update_received(self, update: EndpointList) -> None:
         """Applies a full list or changes, or defers an outdated list."""
-        self.version = update.version
         self.failure_reported = False
-        is_behind = update.version < self.newest_version and self.is_catching_up()
-        if self.outdated is not None or is_behind:
-            outdated = self.defer_update(update)
-            if is_behind:
-                return
-            update = outdated.as_list(update.version)
-            self.outdated = None
-        self.newest_version = update.version
-        self.proxy.endpoints_received(update.endpoints, update.addresses, update.is_whole)
-        self.proxy.endpoint_list_confirmed()
-
-    def check_order(self, update: EndpointList) -> None:
-        """Raises MalformedListError for changes that do not follow the list received before."""
-        if update.is_whole:
-            return
-        if self.version is not None and update.version < self.version:
-            self.version = None
-            raise MalformedListError(f"version went back to {update.version}")
-        if self.version is None and self.outdated is None:
-            raise MalformedListError("changes without a full list before them")
+        was_deferring = self.versions.is_deferring
+        accepted = self.versions.accept(self.proxy.clock.now(), update)
+        if self.versions.is_deferring and not was_deferring:
+            wait = self.versions.catch_up_ends_at - self.proxy.clock.now()
+            self.proxy.clock.call_later(wait, self.catch_up_expired, self.watch)
+        if accepted is not None:
+            self.proxy.endpoints_received(accepted.endpoints, accepted.addresses, accepted.is_whole)
+            self.proxy.endpoint_list_confirmed()
 
     def heartbeat_received(self) -> None:
         """Reports that the applied list is current, unless a full list is awaited or deferred."""
         self.requests.cancel_all()
-        if self.version is not None and self.outdated is None:
+        if self.version is not None and not self.versions.is_deferring:
             self.proxy.endpoint_list_confirmed()
 
-    def is_catching_up(self) -> bool:
-        """Whether discovery at a new address may still serve an older list than the applied one."""
-        return self.proxy.clock.now() < self.address_changed_at + CATCH_UP_TIME
-
-    def defer_update(self, update: EndpointList) -> OutdatedList:
-        """Defers a list from a new address that is older than the applied one, and merges changes to it.
-
-        If it were applied, servers that are known to drain would become ready again. It is deferred until
-        its version reaches the applied one, or until `CATCH_UP_TIME` has passed: then versions at the new
-        address are taken to be independent of the old ones.
-        """
-        if self.outdated is None:
-            self.outdated = OutdatedList()
-            wait = self.address_changed_at + CATCH_UP_TIME - self.proxy.clock.now()
-            self.proxy.clock.call_later(wait, self.catch_up_expired, self.watch)
-        self.outdated.apply(update)
-        return self.outdated
-
     def catch_up_expired(self, watch: Watch) -> None:
-        """Requests the full list again after `CATCH_UP_TIME`; it is applied whatever its version."""
-        if watch is self.watch and self.outdated is not None:
+        """Requests the full list again after the time to catch up; it is applied whatever its version."""
+        if watch is self.watch and self.versions.is_deferring:
             self.close_watch()
             self.ensure_watching()
--- a/tests/soak/discovery.py
+++ b/tests/soak/discovery.py
@@ -22,7 +22,7 @@
 SILENCE_DETECTED_AFTER = 6.0  # seconds in which a proxy must detect a silent watch and replace it
 PIECE_SIZE = 97  # bytes per write, when an agent writes in pieces
 RESPONSE_HEAD = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
-TOLD_WITHIN = 6.0  # seconds from when an agent has a change until its proxy counts as notified
+NOTIFIED_WITHIN = 6.0  # seconds from when an agent has a change until its proxy counts as notified
 Entry = dict[str, Any]  # a server in discovery's format
 
 
@@ -201,7 +201,7 @@
         in_pieces = " in pieces" if self.sends_pieces else ""
         text = f"{now:.3f} sent{in_pieces} to {len(live)} of {len(self.watches)} watches"
         if self.delays is not None:
-            return Delivery(now + TOLD_WITHIN, f"{text}, answers take {self.delays}")
+            return Delivery(now + NOTIFIED_WITHIN, f"{text}, answers take {self.delays}")
         if live or not self.watches:
             return Delivery(now, text)
         silent_since = max(watch.silent_since for watch in self.watches)
