Both sides of a session share their receiving half

Change: `SessionReceiver` keeps the incomplete line and takes the whole ones; both connections derive from it.

--- a/brambleplank/frontends/line/client_connections.py
+++ b/brambleplank/frontends/line/client_connections.py
@@ -9,12 +9,11 @@
 
 from twisted.internet.error import ConnectionDone
 from twisted.internet.protocol import Factory
-from twisted.protocols.basic import LineReceiver
 from twisted.protocols.policies import TimeoutMixin
 from twisted.python.failure import Failure
 
 from brambleplank.frontends.line import open_line
-from brambleplank.frontends.line.session_lines import CRLF, MAX_LINE_SIZE, split_data
+from brambleplank.frontends.line.session_receiver import SessionReceiver
 from brambleplank.frontends.line.upstream_connections import LineUpstreamConnection
 from brambleplank.interfaces import EndpointAddress, ResumedSession
 from brambleplank.net.admission import IdStatus
@@ -35,10 +34,9 @@
 )
 
 
-class LineClientConnection(LineReceiver, TimeoutMixin):
+class LineClientConnection(SessionReceiver, TimeoutMixin):
     """A client's connection, from accept to close."""
 
-    MAX_LENGTH = MAX_LINE_SIZE - len(CRLF)
     transport: Any
 
     def __init__(self, proxy: Proxy) -> None:
@@ -51,7 +49,6 @@
         self.request: Request | None = None
         self.upstreams: list[LineUpstreamConnection] = []  # one per attempt, oldest first
         self.established_upstream: LineUpstreamConnection | None = None  # one of `upstreams`
-        self.partial_line = b""  # of an established session
         self.resumed_session: ResumedSession | None = None
         self.sent_ping = False
         self.pings_in_pass = 0
@@ -90,19 +87,12 @@
 
     def forward_lines(self, upstream: LineUpstreamConnection, data: bytes) -> None:
         """Forwards the whole lines of an established session in one piece, however short they are."""
-        lines = split_data(self.partial_line + data)
-        self.partial_line = b"" if lines.is_overlong else lines.rest
+        lines = self.take_whole_lines(data)
         if lines.whole_lines:
             upstream.forward(lines.whole_lines)
         if lines.is_overlong:
             self.lineLengthExceeded(lines.rest)
 
-    def clearLineBuffer(self) -> bytes:  # noqa: N802
-        """Returns the incomplete line, and forgets it."""
-        partial_line: bytes = self.partial_line + super().clearLineBuffer()
-        self.partial_line = b""
-        return partial_line
-
     def lineReceived(self, line: bytes) -> None:  # noqa: N802
         """Dispatches a line according to the state of the connection."""
         if self.end_code:
--- a/brambleplank/frontends/line/upstream_connections.py
+++ b/brambleplank/frontends/line/upstream_connections.py
@@ -8,10 +8,10 @@
 from twisted.internet.base import DelayedCall
 from twisted.internet.error import ConnectionDone
 from twisted.internet.protocol import ClientFactory
-from twisted.protocols.basic import LineReceiver
 from twisted.python.failure import Failure
 
-from brambleplank.frontends.line.session_lines import CRLF, MAX_LINE_SIZE, last_line, split_data
+from brambleplank.frontends.line.session_lines import CRLF, last_line
+from brambleplank.frontends.line.session_receiver import SessionReceiver
 from brambleplank.interfaces import ClientConnection, EndpointAddress
 from brambleplank.model import AttemptOutcome
 from brambleplank.net.buffers import UpstreamConnector
@@ -55,10 +55,9 @@
         """Returns whether the client has its final answer or has disconnected."""
 
 
-class LineUpstreamConnection(LineReceiver, ClientFactory):
+class LineUpstreamConnection(SessionReceiver, ClientFactory):
     """One attempt: a connection to a server, its OPEN line and answer, then the established session."""
 
-    MAX_LENGTH = MAX_LINE_SIZE - len(CRLF)
     noisy = False
     transport: Any = None
 
@@ -75,7 +74,6 @@
         self.ended = False
         self.unanswered_since = 0.0  # when the oldest unanswered line was forwarded; 0: none
         self.last_line = b""
-        self.partial_line = b""  # of an established session
         self.timer: DelayedCall | None = None
         self.connector: UpstreamConnector | None = None
 
@@ -147,14 +145,10 @@
         self.transport.write(lines)
 
     def rawDataReceived(self, data: bytes) -> None:  # noqa: N802
-        """Forwards the whole lines of an established session in one piece, however short they are.
-
-        A step per line would let one server or client that sends very short lines hold up all others.
-        """
+        """Forwards the whole lines of an established session in one piece, however short they are."""
         if self.ended or self.transport.disconnecting:
             return
-        lines = split_data(self.partial_line + data)
-        self.partial_line = b"" if lines.is_overlong else lines.rest
+        lines = self.take_whole_lines(data)
         if lines.whole_lines:
             # How the session ended is decided by the last line before the close.
             self.last_line = last_line(lines.whole_lines)
@@ -164,12 +158,6 @@
         if lines.is_overlong:
             self.lineLengthExceeded(lines.rest)
 
-    def clearLineBuffer(self) -> bytes:  # noqa: N802
-        """Returns the incomplete line, and forgets it."""
-        partial_line: bytes = self.partial_line + super().clearLineBuffer()
-        self.partial_line = b""
-        return partial_line
-
     def lineReceived(self, line: bytes) -> None:  # noqa: N802
         """Handles the answer to OPEN."""
         if self.ended:
