--- a/tests/soak/drawn_settings.py
+++ b/tests/soak/drawn_settings.py
@@ -7,6 +7,14 @@
 
 from tests.sample_settings import PLATFORM_SETTINGS
 
+KEYED_CLASS = "ref"  # the class whose repeats are bound to a group of servers
+
+
+def bind_repeats_to_zone(settings: dict[str, Any]) -> None:
+    """Binds the repeats of the keyed class to the zone of the first server."""
+    keyed = next(each for each in settings["service_types"] if each["name"] == KEYED_CLASS)
+    keyed["group"] = "zone"
+
 
 def draw_settings(rng: Random, proxies: int) -> dict[str, Any]:
     """Returns settings in the platform's format; times are in microseconds."""
@@ -15,7 +23,7 @@
     traffic_classes: list[dict[str, Any]] = [
         {"name": "feed", "effect": "repeatable"},
         {"name": "order", "effect": "once"},
-        {"name": "ref", "effect": "by_key", "group": rng.choice(("all", "zone")), "window_us": window},
+        {"name": KEYED_CLASS, "effect": "by_key", "group": rng.choice(("all", "zone")), "window_us": window},
     ]
     shared: dict[str, Any] = {"setup_target_us": rng.choice((150_000, 300_000)), "deadline_us": deadline}
     limits = {
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -9,13 +9,20 @@
 from dataclasses import dataclass
 from pathlib import Path
 
+from tests.soak.damaged_reloads import send_damaged_configurations
+from tests.soak.held_up_upgrades import upgrade_and_hold_up
 from tests.soak.judge import RecordChecker, Violation
 from tests.soak.records import Records
 from tests.soak.simulation import Simulation, SimulationPlan, Troubles
 from tests.soak.slow_discovery import slow_discovery_down
 from tests.soak.troubles import inject_faults
 
-FAULTS_BY_TROUBLES = {Troubles.MIXED: inject_faults, Troubles.SLOW_DISCOVERY: slow_discovery_down}
+FAULTS_BY_TROUBLES = {
+    Troubles.MIXED: inject_faults,
+    Troubles.SLOW_DISCOVERY: slow_discovery_down,
+    Troubles.DAMAGED_RELOADS: send_damaged_configurations,
+    Troubles.HELD_UP_UPGRADES: upgrade_and_hold_up,
+}
 MAX_TOTAL_LAG = 2.0  # seconds, summed over the run, by which the simulating process may be late
 
 
--- a/tests/soak/simulation.py
+++ b/tests/soak/simulation.py
@@ -20,7 +20,7 @@
 from tests.relay import DatagramRelay
 from tests.soak.clients import Client
 from tests.soak.discovery import Delivery, DiscoveryAgent, Entry, current_entries
-from tests.soak.drawn_settings import draw_settings
+from tests.soak.drawn_settings import bind_repeats_to_zone, draw_settings
 from tests.soak.proxies import Proxy
 from tests.soak.records import ClientRecord, Misbehaviour, NotifiedChange, Records
 from tests.soak.servers import Server
@@ -54,6 +54,8 @@
 
     MIXED = "mixed"
     SLOW_DISCOVERY = "slow-discovery"
+    DAMAGED_RELOADS = "damaged-reloads"
+    HELD_UP_UPGRADES = "held-up-upgrades"
 
 
 @dataclass(frozen=True)
@@ -101,6 +103,8 @@
         self.subnet = Subnet(zlib.crc32(str(plan.folder).encode()))
         self.records = Records()
         self.settings = draw_settings(self.rng, plan.proxies)
+        if plan.troubles is Troubles.DAMAGED_RELOADS:
+            bind_repeats_to_zone(self.settings)
         # Uses its own generator: a draw from `self.rng` would change the faults that existing seeds produce.
         self.has_crowds = Random(f"crowds {plan.seed}").random() < SHARE_RUNS_WITH_CROWDS
         self.servers = [self.new_server(ZONES[n % 2]) for n in range(plan.servers)]
@@ -133,7 +137,7 @@
         for agent in self.agents:
             await agent.listen()
             agent.load(self.servers)
-        has_upgrades = self.rng.random() < 0.5
+        has_upgrades = self.rng.random() < 0.5 or self.plan.troubles is Troubles.HELD_UP_UPGRADES
         for number, agent in enumerate(self.agents):
             proxy = self.new_proxy(number, agent, has_upgrades)
             proxy.start()
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -13,6 +13,8 @@
 
 SEEDS = (3, 11)
 SLOW_DISCOVERY_SEEDS = (1, 2)
+HELD_UP_UPGRADE_SEEDS = (1,)
+DAMAGED_RELOAD_SEEDS = (3,)
 MAX_SEEDS = 9  # seeds tried until a defect is detected
 INVARIANTS = "brambleplank.decisions.request_invariants:RequestInvariants"
 IGNORE_IDEMPOTENCY = {"brambleplank.decisions.idempotency:IdempotencyStage.excludes": "lambda *what: False"}
@@ -78,6 +80,26 @@
     assert not violated_rules, text
 
 
+@pytest.mark.timeout(180)
+@pytest.mark.parametrize("seed", HELD_UP_UPGRADE_SEEDS)
+def test_no_request_is_lost_in_upgrades_whose_new_process_is_held_up(tmp_path: Path, seed: int) -> None:
+    # Guards against an old process that ends before the new one has its connections.
+    plan = SimulationPlan(seed, tmp_path, 4, 6, 14.0, 60.0, troubles=Troubles.HELD_UP_UPGRADES)
+    violated_rules, text = run_plan(plan)
+    assert not violated_rules, text
+
+
+@pytest.mark.timeout(180)
+@pytest.mark.parametrize("seed", DAMAGED_RELOAD_SEEDS)
+def test_no_request_runs_outside_its_group_while_damaged_files_are_reloaded(
+    tmp_path: Path, seed: int
+) -> None:
+    # Guards against a damaged configuration that is taken as permission.
+    plan = SimulationPlan(seed, tmp_path, 4, 6, 12.0, 120.0, troubles=Troubles.DAMAGED_RELOADS)
+    violated_rules, text = run_plan(plan)
+    assert not violated_rules, text
+
+
 @pytest.mark.timeout(180)
 @pytest.mark.parametrize("rule", DEFECTS)
 def test_injected_defect_is_detected(tmp_path: Path, rule: str) -> None:
